--- /dev/null
+++ b/cmd/agatectl/main.go
@@ -0,0 +1,6 @@
+// Command agatectl is the operators' tool.
+package main
+
+import _ "net"
+
+func main() {}
--- /dev/null
+++ b/pkg/config/document.go
@@ -0,0 +1,169 @@
+// Package config defines the configuration document that operators publish: its types, checks, canonical encoding,
+// differences between versions, and the pieces and deltas in which it travels.
+package config
+
+import "time"
+
+// Format identifies the document format.
+const Format = "agatepulley/1"
+
+// Version orders documents: first by epoch, then by sequence.
+type Version struct {
+	Epoch    uint64 `json:"epoch"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Compare returns -1, 0 or 1 as v is lower than, equal to or higher than o.
+func (v Version) Compare(o Version) int {
+	switch {
+	case v.Epoch < o.Epoch, v.Epoch == o.Epoch && v.Sequence < o.Sequence:
+		return -1
+	case v == o:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// Document is one version of the whole configuration.
+type Document struct {
+	Format     string      `json:"format"`
+	Version    Version     `json:"version"`
+	Hosts      []Host      `json:"hosts"`
+	Services   []Service   `json:"services"`
+	Routes     []Route     `json:"routes"`
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+}
+
+// Host is a machine that runs one node.
+type Host struct {
+	ID          string `json:"id"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region,omitempty"`
+	IngressPort int    `json:"ingress_port"`
+	HopPort     int    `json:"hop_port"`
+	PeerPort    int    `json:"peer_port"`
+	Draining    bool   `json:"draining,omitempty"`
+}
+
+// Service is a set of interchangeable endpoints with the rules that apply to them. In the settings groups a zero
+// value means the default.
+type Service struct {
+	Name         string            `json:"name"`
+	FloorPercent int               `json:"floor_percent"`
+	Health       HealthSettings    `json:"health,omitzero"`
+	Admission    AdmissionSettings `json:"admission,omitzero"`
+	Retry        RetrySettings     `json:"retry,omitzero"`
+	Balance      BalanceSettings   `json:"balance,omitzero"`
+	Claims       ClaimSettings     `json:"claims,omitzero"`
+	Quarantine   QuarantineSetting `json:"quarantine,omitzero"`
+	Endpoints    []Endpoint        `json:"endpoints"`
+}
+
+// Endpoint is one backend server, reached through the node on its host.
+type Endpoint struct {
+	ID       string `json:"id"`
+	Host     string `json:"host"`
+	Slots    int    `json:"slots"`
+	Draining bool   `json:"draining,omitempty"`
+}
+
+// Class says how long the requests of a route usually take.
+type Class string
+
+// Classes of routes. ClassAuto is learned from the service times of the route.
+const (
+	ClassAuto  Class = "auto"
+	ClassShort Class = "short"
+	ClassLong  Class = "long"
+)
+
+// Route maps requests to a service.
+type Route struct {
+	ID                string   `json:"id"`
+	PathPrefix        string   `json:"path_prefix"`
+	Methods           []string `json:"methods,omitempty"`
+	Service           string   `json:"service"`
+	Repeatable        bool     `json:"repeatable"`
+	KeyRequired       bool     `json:"key_required,omitempty"`
+	DeadlineMS        int      `json:"deadline_ms,omitempty"`
+	MaxBodyBytes      int64    `json:"max_body_bytes,omitempty"`
+	Class             Class    `json:"class,omitempty"`
+	WorkspaceRequired bool     `json:"workspace_required,omitempty"`
+}
+
+// Workspace is a tenant of callers. A zero limit means no limit.
+type Workspace struct {
+	ID          string `json:"id"`
+	MaxInFlight int    `json:"max_in_flight,omitempty"`
+}
+
+// HealthSettings tune the detection of failing endpoints.
+type HealthSettings struct {
+	// SuspectScore is the detector score, in units of log likelihood, at which an endpoint becomes suspect.
+	SuspectScore float64 `json:"suspect_score,omitempty"`
+	// EjectScore is the score at which a suspect is ejected if the floor allows it.
+	EjectScore float64 `json:"eject_score,omitempty"`
+	// HoldOffMS is the first hold-off after an ejection; it doubles with each further one.
+	HoldOffMS    int `json:"hold_off_ms,omitempty"`
+	HoldOffMaxMS int `json:"hold_off_max_ms,omitempty"`
+	// RampMS is the time over which a returning or cold endpoint regains its full share.
+	RampMS int `json:"ramp_ms,omitempty"`
+}
+
+// AdmissionSettings tune the owner's queue.
+type AdmissionSettings struct {
+	QueuePerSlot int `json:"queue_per_slot,omitempty"`
+	// LongReserve is the number of slots that long requests must leave free.
+	LongReserve int `json:"long_reserve,omitempty"`
+	// LongAfterMS is the service time from which a route of class auto counts as long.
+	LongAfterMS int `json:"long_after_ms,omitempty"`
+}
+
+// RetrySettings bound the retries of a service.
+type RetrySettings struct {
+	BudgetPercent int  `json:"budget_percent,omitempty"`
+	MaxAttempts   int  `json:"max_attempts,omitempty"`
+	Hedge         bool `json:"hedge,omitempty"`
+}
+
+// BalanceSettings tune the choice of an endpoint.
+type BalanceSettings struct {
+	// ZoneSlackPercent is by how much the load of the own zone may exceed that of others before others are used.
+	ZoneSlackPercent int `json:"zone_slack_percent,omitempty"`
+}
+
+// ClaimSettings describe the recorders of idempotency keys of a service.
+type ClaimSettings struct {
+	WindowMS   int      `json:"window_ms,omitempty"`
+	Generation uint64   `json:"generation,omitempty"`
+	Recorders  []string `json:"recorders,omitempty"`
+	Previous   []string `json:"previous,omitempty"`
+}
+
+// QuarantineSetting tunes the containment of requests that crash backend servers.
+type QuarantineSetting struct {
+	PeriodMS   int `json:"period_ms,omitempty"`
+	MaxCrashes int `json:"max_crashes,omitempty"`
+}
+
+// Default values of the settings groups.
+const (
+	DefaultSuspectScore     = 4.0
+	DefaultEjectScore       = 7.0
+	DefaultHoldOff          = 2 * time.Second
+	DefaultHoldOffMax       = 5 * time.Minute
+	DefaultRamp             = 5 * time.Second
+	DefaultQueuePerSlot     = 4
+	DefaultLongReserve      = 1
+	DefaultLongAfter        = 250 * time.Millisecond
+	DefaultBudgetPercent    = 10
+	DefaultMaxAttempts      = 3
+	DefaultZoneSlackPercent = 25
+	DefaultClaimWindow      = 2 * time.Minute
+	DefaultQuarantine       = 10 * time.Minute
+	DefaultMaxCrashes       = 2
+	DefaultDeadline         = 10 * time.Second
+	DefaultMaxBodyBytes     = 1 << 20
+)
--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,127 @@
+// Package outcome defines what a caller is told about its request: the outcome, the reason, and the headers that
+// carry them. A refusal (NotRun) is a promise that the backend server did not see the request.
+package outcome
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Outcome says what is known about the execution of a request.
+type Outcome string
+
+const (
+	// Answered means that the backend server's answer is passed on.
+	Answered Outcome = "answered"
+	// NotRun means that the request was certainly not handed to a backend server.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+	// Duplicate means that another attempt with the same idempotency key was recorded.
+	Duplicate Outcome = "duplicate"
+)
+
+// Reason names the rule that decided an outcome.
+type Reason string
+
+// Reasons for a refusal, an unknown outcome or a duplicate.
+const (
+	ReasonBadRequest      Reason = "bad-request"
+	ReasonNoRoute         Reason = "no-route"
+	ReasonMethod          Reason = "method-not-allowed"
+	ReasonBodyTooLarge    Reason = "body-too-large"
+	ReasonBodyTimeout     Reason = "body-timeout"
+	ReasonKeyRequired     Reason = "key-required"
+	ReasonWorkspace       Reason = "workspace-unknown"
+	ReasonWorkspaceLimit  Reason = "workspace-limit"
+	ReasonNoEndpoint      Reason = "no-endpoint"
+	ReasonNotReady        Reason = "not-ready"
+	ReasonLeaving         Reason = "leaving"
+	ReasonCold            Reason = "cold"
+	ReasonDown            Reason = "down"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonDeadline        Reason = "deadline"
+	ReasonRetryBudget     Reason = "retry-budget"
+	ReasonClaimNoQuorum   Reason = "claim-no-quorum"
+	ReasonClaimStale      Reason = "claim-stale-configuration"
+	ReasonClaimed         Reason = "claimed"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonVoided          Reason = "voided"
+	ReasonConnect         Reason = "connect-failed"
+	ReasonConnectionLost  Reason = "connection-lost"
+	ReasonSilent          Reason = "connection-silent"
+	ReasonCancelled       Reason = "caller-cancelled"
+	ReasonBackendCrash    Reason = "backend-crashed"
+	ReasonBodyCut         Reason = "body-cut"
+	ReasonStalePause      Reason = "stale-after-pause"
+	ReasonAnswerMismatch  Reason = "answer-mismatch"
+	ReasonUnknownEndpoint Reason = "unknown-endpoint"
+)
+
+// Headers between callers, nodes and backend servers. The proxy removes Outcome, Reason and the Hop headers from
+// requests of callers and from answers of backend servers.
+const (
+	HeaderRequestID = "Agatepulley-Request-Id"
+	HeaderOutcome   = "Agatepulley-Outcome"
+	HeaderReason    = "Agatepulley-Reason"
+	HeaderDeadline  = "Agatepulley-Deadline-Ms"
+	HeaderWorkspace = "Agatepulley-Workspace"
+	HeaderKey       = "Idempotency-Key"
+
+	HopPrefix            = "Agatepulley-Hop-"
+	HeaderHopService     = HopPrefix + "Service"
+	HeaderHopEndpoint    = HopPrefix + "Endpoint"
+	HeaderHopRoute       = HopPrefix + "Route"
+	HeaderHopAttempt     = HopPrefix + "Attempt"
+	HeaderHopClass       = HopPrefix + "Class"
+	HeaderHopFingerprint = HopPrefix + "Fingerprint"
+	HeaderHopLoad        = HopPrefix + "Load"
+	HeaderHopVersion     = HopPrefix + "Version"
+)
+
+// Error is a request that ended without a backend server's answer. It carries the step and the peer at which that
+// happened.
+type Error struct {
+	Outcome Outcome
+	Reason  Reason
+	Status  int
+	Step    string
+	Peer    string
+	Err     error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s: %s (%s)", e.Step, e.Reason, e.Outcome)
+	if e.Peer != "" {
+		text = fmt.Sprintf("%s at %s", text, e.Peer)
+	}
+	if e.Err != nil {
+		text = fmt.Sprintf("%s: %v", text, e.Err)
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Refuse returns an error that says the request was not run.
+func Refuse(status int, reason Reason, step, peer string, cause error) *Error {
+	return &Error{Outcome: NotRun, Reason: reason, Status: status, Step: step, Peer: peer, Err: cause}
+}
+
+// Lose returns an error that says the request may have run.
+func Lose(status int, reason Reason, step, peer string, cause error) *Error {
+	return &Error{Outcome: Unknown, Reason: reason, Status: status, Step: step, Peer: peer, Err: cause}
+}
+
+// As returns the outcome error within err, or nil.
+func As(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return nil
+}
