--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -2,7 +2,10 @@
 // differences between versions, and the pieces and deltas in which it travels.
 package config
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Format identifies the document format.
 const Format = "agatepulley/1"
@@ -25,6 +28,11 @@
 	}
 }
 
+// String returns the version as EPOCH.SEQUENCE.
+func (v Version) String() string {
+	return strconv.FormatUint(v.Epoch, 10) + "." + strconv.FormatUint(v.Sequence, 10)
+}
+
 // Document is one version of the whole configuration.
 type Document struct {
 	Format     string      `json:"format"`
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -124,8 +124,8 @@
 func (s *Store) adopt(source Source, offered *config.Snapshot) {
 	old := s.current.Swap(offered)
 	s.clearAlarms()
-	s.log.Info("configuration adopted", "source", string(source), "version", versionText(offered.Version()),
-		"digest", offered.Digest(), "previous", versionText(markOf(old).Version))
+	s.log.Info("configuration adopted", "source", string(source), "version", offered.Version().String(),
+		"digest", offered.Digest(), "previous", markOf(old).Version.String())
 	for _, notify := range s.subscribers {
 		notify(old, offered)
 	}
@@ -166,8 +166,8 @@
 
 func (s *Store) logDecision(level slog.Level, message string, source Source, decision Decision) {
 	s.log.Log(context.Background(), level, message, "reason", decision.Verdict.String(), "source", string(source),
-		"version", versionText(decision.Offered.Version), "digest", decision.Offered.Digest,
-		"in_force", versionText(decision.InForce.Version), "in_force_digest", decision.InForce.Digest)
+		"version", decision.Offered.Version.String(), "digest", decision.Offered.Digest,
+		"in_force", decision.InForce.Version.String(), "in_force_digest", decision.InForce.Digest)
 }
 
 // mark returns the version and digest in force, which are zero before the first adoption.
@@ -181,7 +181,3 @@
 	}
 	return configstate.Mark{Version: snapshot.Version(), Digest: snapshot.Digest()}
 }
-
-func versionText(version config.Version) string {
-	return fmt.Sprintf("%d.%d", version.Epoch, version.Sequence)
-}
