Add the client of the configuration service and the host list

Nodes read and watch the platform over HTTP; the protocol is in docs/platform.md. Every call has a timeout and ends with its context, so that a service that stops answering holds up no other task.

--- /dev/null
+++ b/pkg/platform/platform_test.go
@@ -0,0 +1,89 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/pkg/platform"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) *platform.Client {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := platform.NewClient(server.URL, time.Minute)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a call that outlives its context and so blocks its task while the service does not answer.
+func TestCancellationEndsACallAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	client := serve(t, func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-release
+	})
+	defer close(release)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Watch(ctx, "key", 0, time.Minute)
+		done <- err
+	}()
+	<-arrived
+	cancel()
+	// The handler is still held, so that only the cancellation can have ended the call.
+	g.Expect(<-done).To(gomega.MatchError(context.Canceled))
+}
+
+// Guards against a call without a limit of its own.
+func TestCallsHaveATimeout(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	client := platform.NewClient(strings.TrimPrefix(server.URL, "http://"), 10*time.Millisecond)
+	_, err := client.Hosts(context.Background())
+	g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+}
+
+// Guards against responses that are taken for values although they are failures, cut or malformed.
+func TestMalformedResponsesAreErrors(t *testing.T) {
+	cases := []struct {
+		name, revision, body string
+		status               int
+	}{
+		{name: "down", status: 503, revision: "1"},
+		{name: "redirect", status: 302, revision: "1"},
+		{name: "no revision", status: 200, body: "x"},
+		{name: "bad revision", status: 200, revision: "x"},
+		{name: "too long", status: 200, revision: "1", body: strings.Repeat("x", 1<<20+1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				if c.revision != "" {
+					w.Header().Set("X-Revision", c.revision)
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			})
+			_, err := client.Value(context.Background(), "key")
+			g.Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+	g := gomega.NewWithT(t)
+	client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"revision":1,"hosts":[{"id":"h1","state":"gone"}]}`))
+	})
+	_, err := client.Hosts(context.Background())
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("hosts[0]")))
+}
