--- /dev/null
+++ b/pkg/hop/hop.go
@@ -0,0 +1,118 @@
+// Package hop defines what nodes tell each other on the inner hop, between the ingress that accepted a request and
+// the owner of the endpoint that shall run it. It travels in headers that no caller and no backend server sees.
+package hop
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"agatepulley.example/agatepulley/pkg/outcome"
+)
+
+// PingPath is requested on idle inner connections to verify them.
+const PingPath = "/.agatepulley/ping"
+
+// Meta describes one attempt to run a request.
+type Meta struct {
+	RequestID string
+	// Attempt is unique in the fleet. The owner echoes it, and it identifies the attempt in inquiries and claims.
+	Attempt     string
+	Service     string
+	Endpoint    string
+	Route       string
+	Key         string
+	Fingerprint string
+	Repeatable  bool
+	Long        bool
+	// Remaining is the time left until the caller's deadline.
+	Remaining time.Duration
+}
+
+const (
+	flagRepeatable = "repeatable"
+	classLong      = "long"
+	classShort     = "short"
+)
+
+// Write puts the description into the headers of a request.
+func (m *Meta) Write(h *protocol.RequestHeader) {
+	class := classShort
+	if m.Long {
+		class = classLong
+	}
+	if m.Repeatable {
+		class += "," + flagRepeatable
+	}
+	h.Set(outcome.HeaderRequestID, m.RequestID)
+	h.Set(outcome.HeaderHopAttempt, m.Attempt)
+	h.Set(outcome.HeaderHopService, m.Service)
+	h.Set(outcome.HeaderHopEndpoint, m.Endpoint)
+	h.Set(outcome.HeaderHopRoute, m.Route)
+	h.Set(outcome.HeaderHopClass, class)
+	h.Set(outcome.HeaderHopFingerprint, m.Fingerprint)
+	h.Set(outcome.HeaderDeadline, strconv.FormatInt(m.Remaining.Milliseconds(), 10))
+	if m.Key != "" {
+		h.Set(outcome.HeaderKey, m.Key)
+	}
+}
+
+// Read extracts the description from the headers of a request.
+func Read(h *protocol.RequestHeader) (*Meta, error) {
+	remaining, err := strconv.ParseInt(h.Get(outcome.HeaderDeadline), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("read header %s: %w", outcome.HeaderDeadline, err)
+	}
+	class, flags, _ := strings.Cut(h.Get(outcome.HeaderHopClass), ",")
+	m := &Meta{
+		RequestID:   h.Get(outcome.HeaderRequestID),
+		Attempt:     h.Get(outcome.HeaderHopAttempt),
+		Service:     h.Get(outcome.HeaderHopService),
+		Endpoint:    h.Get(outcome.HeaderHopEndpoint),
+		Route:       h.Get(outcome.HeaderHopRoute),
+		Key:         h.Get(outcome.HeaderKey),
+		Fingerprint: h.Get(outcome.HeaderHopFingerprint),
+		Repeatable:  flags == flagRepeatable,
+		Long:        class == classLong,
+		Remaining:   time.Duration(remaining) * time.Millisecond,
+	}
+	if m.Attempt == "" || m.Endpoint == "" {
+		return nil, fmt.Errorf("headers %s and %s are required", outcome.HeaderHopAttempt, outcome.HeaderHopEndpoint)
+	}
+	return m, nil
+}
+
+// State is the state of an endpoint as its owner reports it.
+type State string
+
+// States of an endpoint.
+const (
+	StateServing State = "serving"
+	StateCold    State = "cold"
+	StateDown    State = "down"
+	StateLeaving State = "leaving"
+)
+
+// Load is the owner's report on an endpoint. It accompanies each of its answers.
+type Load struct {
+	State       State
+	Busy        int
+	Queued      int
+	Slots       int
+	Incarnation uint64
+}
+
+// String encodes the report as a header value.
+func (l Load) String() string {
+	return fmt.Sprintf("%s %d %d %d %d", l.State, l.Busy, l.Queued, l.Slots, l.Incarnation)
+}
+
+// ParseLoad decodes a header value. It returns false if the value is malformed.
+func ParseLoad(value string) (Load, bool) {
+	var l Load
+	n, err := fmt.Sscanf(value, "%s %d %d %d %d", &l.State, &l.Busy, &l.Queued, &l.Slots, &l.Incarnation)
+	return l, err == nil && n == 5
+}
--- /dev/null
+++ b/pkg/ingress/ingress.go
@@ -0,0 +1,191 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/owner"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// Inquirer asks an owner what became of an attempt.
+type Inquirer interface {
+	Inquire(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error)
+}
+
+// Hosts tells which hosts are leaving.
+type Hosts interface {
+	Leaving(host string) bool
+}
+
+// Suspects tells where a request that is suspected of crashing backend servers may run.
+type Suspects interface {
+	// Only returns the single endpoint on which the request may run. It returns false if the request is not suspect.
+	Only(service, fingerprint string, endpoints []string) (endpoint string, suspect bool)
+}
+
+// Options are the parts that an ingress works with. Inquirer, Suspects and Metrics may be nil.
+type Options struct {
+	Host      string
+	Zone      string
+	Config    func() *config.Snapshot
+	Owner     *owner.Owner
+	Hosts     Hosts
+	Inquirer  Inquirer
+	Suspects  Suspects
+	Decisions *decision.Recorder
+	Metrics   *telemetry.Metrics
+	Logger    *slog.Logger
+}
+
+// Ingress serves callers. It is safe for concurrent use.
+type Ingress struct {
+	options    Options
+	started    time.Time
+	attempts   *attemptIDs
+	pools      *pools
+	workspaces *workspaces
+	classes    *classes
+	closing    atomic.Bool
+	inFlight   atomic.Int64
+
+	mu    sync.RWMutex
+	views map[string]*view
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns an ingress. Update must be called with each new configuration.
+func New(options Options) *Ingress {
+	return &Ingress{
+		options:    options,
+		started:    time.Now(),
+		attempts:   newAttemptIDs(),
+		pools:      newPools(),
+		workspaces: newWorkspaces(),
+		classes:    newClasses(),
+		views:      make(map[string]*view),
+		done:       make(chan struct{}),
+	}
+}
+
+// Start begins the health duty.
+func (i *Ingress) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	go i.tick(ctx)
+	return nil
+}
+
+// Stop ends the health duty and closes idle connections.
+func (i *Ingress) Stop(ctx context.Context) error {
+	i.cancel()
+	i.pools.close()
+	select {
+	case <-i.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close tells callers from now on to close their connections.
+func (i *Ingress) Close() {
+	i.closing.Store(true)
+}
+
+// InFlight returns the number of requests of callers that are being served.
+func (i *Ingress) InFlight() int {
+	return int(i.inFlight.Load())
+}
+
+// Update takes over the services of a new configuration.
+func (i *Ingress) Update(snapshot *config.Snapshot) {
+	document := snapshot.Document()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	kept := make(map[string]*view, len(document.Services))
+	for s := range document.Services {
+		service := snapshot.Service(document.Services[s].Name)
+		v := i.views[service.Name]
+		if v == nil {
+			v = newView(i, service)
+		}
+		v.configure(snapshot, service)
+		kept[service.Name] = v
+	}
+	i.views = kept
+}
+
+// Refresh re-evaluates which endpoints are available after the state of a host changed.
+func (i *Ingress) Refresh() {
+	for _, v := range i.allViews() {
+		v.refresh()
+	}
+}
+
+// ObserveState records an endpoint state that its owner announced.
+func (i *Ingress) ObserveState(service, endpoint string, state hop.State) {
+	if v := i.view(service); v != nil {
+		v.observeState(endpoint, state)
+	}
+}
+
+func (i *Ingress) view(service string) *view {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+	return i.views[service]
+}
+
+func (i *Ingress) allViews() []*view {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+	list := make([]*view, 0, len(i.views))
+	for _, v := range i.views {
+		list = append(list, v)
+	}
+	return list
+}
+
+func (i *Ingress) now() time.Duration {
+	return time.Since(i.started)
+}
+
+const (
+	// healthPeriod bounds how long a stalled request can be overlooked.
+	healthPeriod = 100 * time.Millisecond
+	// poolPeriod is the period of pings on idle connections, in health periods.
+	poolPeriod = 10
+)
+
+func (i *Ingress) tick(ctx context.Context) {
+	defer close(i.done)
+	ticker := time.NewTicker(healthPeriod)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, v := range i.allViews() {
+			v.tick()
+		}
+		if turn%poolPeriod == 0 {
+			i.pools.maintain(time.Now())
+		}
+	}
+}
+
+// Stats returns the counters of the inner connections.
+func (i *Ingress) Stats() *transport.Stats {
+	return &i.pools.stats
+}
--- /dev/null
+++ b/pkg/owner/endpoint.go
@@ -0,0 +1,321 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/core/admission"
+	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// errRefusedInQueue tells a waiting request that the queue dropped it.
+var errRefusedInQueue = errors.New("dropped from the queue")
+
+// endpoint is one backend server with its slots and its queue.
+type endpoint struct {
+	owner   *Owner
+	id      string
+	address string
+	pool    *transport.Pool
+	life    *lifecycle
+	probing atomic.Bool
+
+	mu      sync.Mutex
+	slots   int
+	queue   *admission.Queue
+	waiting map[string]chan error
+}
+
+func newEndpoint(o *Owner, ref config.EndpointRef, address string) *endpoint {
+	e := &endpoint{
+		owner:   o,
+		id:      ref.ID,
+		address: address,
+		pool:    transport.NewPool(address, backendPoolOptions(), &o.stats),
+		waiting: make(map[string]chan error),
+	}
+	e.life = newLifecycle(func(state hop.State) { o.notify(ref.ID, state) })
+	return e
+}
+
+const (
+	backendConnectTimeout = 500 * time.Millisecond
+	backendIdleTimeout    = 30 * time.Second
+	backendMaxIdle        = 64
+)
+
+func backendPoolOptions() transport.Options {
+	return transport.Options{
+		ConnectTimeout: backendConnectTimeout,
+		IdleTimeout:    backendIdleTimeout,
+		MaxIdle:        backendMaxIdle,
+	}
+}
+
+func (e *endpoint) configure(ref config.EndpointRef) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slots = ref.Slots
+	e.life.setRamp(config.Millis(ref.Service.Health.RampMS))
+	if e.queue != nil {
+		e.queue.Resize(e.effectiveSlots())
+		return
+	}
+	e.queue = admission.New(admission.Settings{
+		Slots:       ref.Slots,
+		QueueLimit:  ref.Slots * ref.Service.Admission.QueuePerSlot,
+		LongReserve: ref.Service.Admission.LongReserve,
+	})
+}
+
+// retire closes idle connections of an endpoint that the configuration no longer lists. Admitted work goes on.
+func (e *endpoint) retire() {
+	e.pool.Close()
+}
+
+func (e *endpoint) load() hop.Load {
+	e.mu.Lock()
+	load := e.queue.Load()
+	e.mu.Unlock()
+	state := e.life.state()
+	if e.owner.Leaving() {
+		state = hop.StateLeaving
+	}
+	return hop.Load{
+		State:       state,
+		Busy:        load.Busy,
+		Queued:      load.Queued,
+		Slots:       load.Slots,
+		Incarnation: e.owner.options.Incarnation,
+	}
+}
+
+// run admits a request, claims its key if needed, and dispatches it.
+func (e *endpoint) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	alone, failure := e.place(r)
+	if failure != nil {
+		return nil, failure
+	}
+	if failure := e.admit(ctx, r, alone); failure != nil {
+		return nil, failure
+	}
+	admitted := e.owner.now()
+	free := func() { e.done(r.Attempt, e.owner.now()-admitted) }
+	claim, failure := e.claim(ctx, r)
+	if failure != nil {
+		free()
+		return nil, failure
+	}
+	response, failure := e.dispatch(ctx, r, claim)
+	settle(claim, response, failure)
+	if failure != nil {
+		free()
+		return nil, failure
+	}
+	response.OnClose(free)
+	return response, nil
+}
+
+// place decides whether a request suspected of crashing backend servers may run here.
+func (e *endpoint) place(r *Request) (alone bool, failure *outcome.Error) {
+	if e.life.state() == hop.StateDown {
+		return false, e.owner.refuse(r, stepAdmit, outcome.ReasonDown, nil)
+	}
+	if e.owner.options.Quarantine == nil {
+		return false, nil
+	}
+	switch e.owner.options.Quarantine.Place(r.Service, r.Fingerprint, e.id) {
+	case PlaceNowhere:
+		return false, e.owner.refuse(r, stepAdmit, outcome.ReasonQuarantined, nil)
+	case PlaceAlone:
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
+// admit waits for a slot. It returns when the request may be dispatched or is refused.
+func (e *endpoint) admit(ctx context.Context, r *Request, alone bool) *outcome.Error {
+	granted, failure := e.offer(ctx, r, alone)
+	if granted == nil || failure != nil {
+		return failure
+	}
+	select {
+	case err := <-granted:
+		if err != nil {
+			return e.owner.refuse(r, stepAdmit, outcome.ReasonDeadline, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return e.withdraw(ctx, r, granted)
+	}
+}
+
+// offer puts the request before the queue. It returns a channel if the request has to wait.
+func (e *endpoint) offer(ctx context.Context, r *Request, alone bool) (chan error, *outcome.Error) {
+	now := e.owner.now()
+	deadline, _ := ctx.Deadline()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	decided := e.queue.Offer(now, admission.Item{
+		ID:       r.Attempt,
+		Long:     r.Long,
+		Deadline: now + time.Until(deadline),
+		Alone:    alone,
+	})
+	switch decided.Verdict {
+	case admission.Run:
+		return nil, nil
+	case admission.Queued:
+		granted := make(chan error, 1)
+		e.waiting[r.Attempt] = granted
+		return granted, nil
+	default:
+		return nil, e.owner.refuse(r, stepAdmit, admissionReason(decided.Reason), nil)
+	}
+}
+
+// withdraw takes a request whose context ended out of the queue. If it was granted a slot meanwhile, the slot is freed.
+func (e *endpoint) withdraw(ctx context.Context, r *Request, granted chan error) *outcome.Error {
+	e.mu.Lock()
+	cancelled := e.queue.Cancel(r.Attempt)
+	delete(e.waiting, r.Attempt)
+	e.mu.Unlock()
+	if !cancelled && <-granted == nil {
+		e.done(r.Attempt, 0)
+	}
+	reason := outcome.ReasonCancelled
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		reason = outcome.ReasonDeadline
+	}
+	return e.owner.refuse(r, stepAdmit, reason, context.Cause(ctx))
+}
+
+// done frees the slot of a request and lets the next ones run.
+func (e *endpoint) done(attempt string, serviceTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.owner.now()
+	e.queue.Done(now, attempt, serviceTime)
+	e.advance(now)
+}
+
+// advance tells the waiting requests what the queue decided. The caller holds the lock.
+func (e *endpoint) advance(now time.Duration) {
+	for _, item := range e.queue.Expire(now) {
+		e.tell(item.ID, errRefusedInQueue)
+	}
+	for _, item := range e.queue.Next(now) {
+		e.tell(item.ID, nil)
+	}
+}
+
+func (e *endpoint) tell(attempt string, err error) {
+	if granted := e.waiting[attempt]; granted != nil {
+		delete(e.waiting, attempt)
+		granted <- err
+	}
+}
+
+// claim obtains the right to run a request that may not be repeated and carries a key.
+func (e *endpoint) claim(ctx context.Context, r *Request) (Claim, *outcome.Error) {
+	if r.Repeatable {
+		return nil, nil
+	}
+	if !e.owner.mayRunOnce() {
+		return nil, e.owner.refuse(r, stepClaim, outcome.ReasonStalePause, nil)
+	}
+	if r.Key == "" || e.owner.options.Claims == nil {
+		return nil, nil
+	}
+	return e.owner.options.Claims.Claim(ctx, r.Service, r.Key, r.Attempt)
+}
+
+// settle tells the recorders what became of a claimed request.
+func settle(claim Claim, response *transport.Response, failure *outcome.Error) {
+	switch {
+	case claim == nil:
+	case failure == nil:
+		claim.Complete(response.Head.StatusCode())
+	case failure.Outcome == outcome.NotRun:
+		claim.Release()
+	default:
+		claim.Complete(0)
+	}
+}
+
+// dispatch hands the request to the backend server.
+func (e *endpoint) dispatch(ctx context.Context, r *Request, claim Claim) (*transport.Response, *outcome.Error) {
+	if ctx.Err() != nil {
+		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonDeadline, context.Cause(ctx))
+	}
+	if !r.Repeatable && !e.owner.mayRunOnce() {
+		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStalePause, nil)
+	}
+	if claim != nil && !claim.Valid() {
+		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStalePause, nil)
+	}
+	e.owner.registry.set(r.Attempt, AttemptRunning)
+	pending, err := e.pool.Send(ctx, r.Transport)
+	if err != nil {
+		return nil, e.lost(ctx, r, err)
+	}
+	response, err := pending.Await()
+	if err != nil {
+		return nil, e.lost(ctx, r, err)
+	}
+	e.owner.registry.set(r.Attempt, AttemptAnswered)
+	e.succeeded(r)
+	return response, nil
+}
+
+func (e *endpoint) succeeded(r *Request) {
+	e.life.answered()
+	if e.owner.options.Quarantine != nil {
+		e.owner.options.Quarantine.Succeeded(r.Service, r.Fingerprint)
+	}
+}
+
+// lost classifies an exchange with the backend server that ended without a response.
+func (e *endpoint) lost(ctx context.Context, r *Request, err error) *outcome.Error {
+	var exchange *transport.Error
+	sent := errors.As(err, &exchange) && exchange.Sent
+	switch {
+	case !sent && ctx.Err() == nil:
+		e.life.refused()
+		return e.owner.refuse(r, stepDispatch, outcome.ReasonDown, err)
+	case !sent:
+		return e.owner.refuse(r, stepDispatch, outcome.ReasonDeadline, err)
+	case errors.Is(err, transport.ErrBodySource):
+		return outcome.Lose(http.StatusBadRequest, outcome.ReasonBodyCut, stepDispatch, e.id, err)
+	case transport.IsTimeout(err):
+		return outcome.Lose(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepDispatch, e.id, err)
+	case ctx.Err() != nil:
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonCancelled, stepDispatch, e.id, err)
+	case e.crashed():
+		e.suspect(r)
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonBackendCrash, stepDispatch, e.id, err)
+	default:
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
+	}
+}
+
+func (e *endpoint) suspect(r *Request) {
+	if e.owner.options.Quarantine != nil {
+		e.owner.options.Quarantine.Crashed(r.Service, r.Fingerprint, e.id)
+	}
+}
+
+func admissionReason(reason admission.Reason) outcome.Reason {
+	if reason == admission.ReasonDeadline {
+		return outcome.ReasonDeadline
+	}
+	return outcome.ReasonQueueFull
+}
--- /dev/null
+++ b/pkg/owner/lifecycle.go
@@ -0,0 +1,195 @@
+package owner
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"agatepulley.example/agatepulley/pkg/hop"
+)
+
+// triggers of the life cycle of a backend server.
+const (
+	triggerRefused = "refused"
+	triggerReached = "reached"
+	triggerWarm    = "warm"
+)
+
+// lifecycle is the state machine of one backend server: down until it accepts connections, cold for the ramp time,
+// then serving.
+type lifecycle struct {
+	mu       sync.Mutex
+	machine  *stateless.StateMachine
+	ramp     time.Duration
+	coldFrom time.Time
+	changed  func(hop.State)
+}
+
+func newLifecycle(changed func(hop.State)) *lifecycle {
+	l := &lifecycle{changed: changed}
+	m := stateless.NewStateMachine(hop.StateServing)
+	m.Configure(hop.StateServing).
+		Permit(triggerRefused, hop.StateDown).
+		Ignore(triggerReached).
+		Ignore(triggerWarm)
+	m.Configure(hop.StateDown).
+		Permit(triggerReached, hop.StateCold).
+		Ignore(triggerRefused).
+		Ignore(triggerWarm)
+	m.Configure(hop.StateCold).
+		OnEntry(func(context.Context, ...any) error {
+			l.coldFrom = time.Now()
+			return nil
+		}).
+		Permit(triggerRefused, hop.StateDown).
+		Permit(triggerWarm, hop.StateServing).
+		Ignore(triggerReached)
+	l.machine = m
+	return l
+}
+
+func (l *lifecycle) state() hop.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.MustState().(hop.State)
+}
+
+func (l *lifecycle) setRamp(ramp time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ramp = ramp
+}
+
+// warmth returns the share of the ramp that has passed: one when serving, zero when down.
+func (l *lifecycle) warmth() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch l.machine.MustState().(hop.State) {
+	case hop.StateServing:
+		return 1
+	case hop.StateCold:
+		return min(1, float64(time.Since(l.coldFrom))/float64(max(l.ramp, 1)))
+	default:
+		return 0
+	}
+}
+
+// refused records that the backend server did not accept a connection.
+func (l *lifecycle) refused() { l.fire(triggerRefused) }
+
+// reached records that the backend server accepted a connection.
+func (l *lifecycle) reached() { l.fire(triggerReached) }
+
+// warm ends the ramp.
+func (l *lifecycle) warm() { l.fire(triggerWarm) }
+
+// answered records a response.
+func (l *lifecycle) answered() { l.fire(triggerReached) }
+
+func (l *lifecycle) fire(trigger string) {
+	l.mu.Lock()
+	before := l.machine.MustState().(hop.State)
+	err := l.machine.Fire(trigger)
+	after := l.machine.MustState().(hop.State)
+	l.mu.Unlock()
+	if err == nil && before != after {
+		l.changed(after)
+	}
+}
+
+const (
+	watchPeriod  = 100 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+)
+
+// watch looks after the backend servers of the host: it reconnects to those that are down and ramps the cold ones.
+func (o *Owner) watch(ctx context.Context) {
+	defer close(o.done)
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.turn()
+		}
+	}
+}
+
+func (o *Owner) turn() {
+	if o.paused() {
+		o.Hold()
+	}
+	o.lastTurn.Store(int64(o.now()))
+	o.mu.RLock()
+	endpoints := make([]*endpoint, 0, len(o.endpoints))
+	for _, e := range o.endpoints {
+		endpoints = append(endpoints, e)
+	}
+	o.mu.RUnlock()
+	for _, e := range endpoints {
+		e.maintain()
+	}
+}
+
+func (o *Owner) notify(endpoint string, state hop.State) {
+	if o.options.StateChanged != nil {
+		o.options.StateChanged(endpoint, state)
+	}
+}
+
+// maintain brings the slots of an endpoint in line with its state.
+func (e *endpoint) maintain() {
+	if e.life.state() == hop.StateDown {
+		e.probe()
+	}
+	if e.life.warmth() >= 1 {
+		e.life.warm()
+	}
+	e.pool.Maintain(time.Now())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue.Resize(e.effectiveSlots())
+	e.advance(e.owner.now())
+}
+
+// probe tries to connect to a backend server that is down, apart from the watch, which must not be delayed.
+func (e *endpoint) probe() {
+	if !e.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.probing.Store(false)
+		if e.connects() {
+			e.life.reached()
+		}
+	}()
+}
+
+// effectiveSlots is the number of slots in use while the backend server is cold: one at first, all at the end of the
+// ramp. The caller holds the lock.
+func (e *endpoint) effectiveSlots() int {
+	return 1 + int(float64(e.slots-1)*e.life.warmth())
+}
+
+// crashed reports whether the backend server no longer accepts connections.
+func (e *endpoint) crashed() bool {
+	if e.connects() {
+		return false
+	}
+	e.life.refused()
+	return true
+}
+
+func (e *endpoint) connects() bool {
+	connection, err := net.DialTimeout("tcp", e.address, probeTimeout)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
--- /dev/null
+++ b/pkg/owner/owner.go
@@ -0,0 +1,282 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const (
+	stepAdmit    = "admit"
+	stepClaim    = "claim"
+	stepDispatch = "dispatch"
+)
+
+// Claim is the right to run a request that may not be repeated.
+type Claim interface {
+	// Valid reports whether the request may still be dispatched under the claim.
+	Valid() bool
+	// Release gives up a claim whose request was certainly not run.
+	Release()
+	// Complete records the status of the answer, or zero if the outcome is unknown.
+	Complete(status int)
+}
+
+// Claimer obtains claims on idempotency keys. The error says why a claim was not granted.
+type Claimer interface {
+	Claim(ctx context.Context, service, key, attempt string) (Claim, *outcome.Error)
+}
+
+// Placement says how a request suspected of crashing backend servers is treated.
+type Placement int
+
+// Placements.
+const (
+	PlaceNormally Placement = iota
+	PlaceAlone
+	PlaceNowhere
+)
+
+// Quarantine tracks requests that are suspected of crashing backend servers.
+type Quarantine interface {
+	Place(service, fingerprint, endpoint string) Placement
+	Crashed(service, fingerprint, endpoint string)
+	Succeeded(service, fingerprint string)
+}
+
+// Options are the parts that an owner works with. Claims and Quarantine may be nil.
+type Options struct {
+	Host        string
+	Incarnation uint64
+	// Backends maps endpoint ids to the addresses of their backend servers.
+	Backends   map[string]string
+	Claims     Claimer
+	Quarantine Quarantine
+	Decisions  *decision.Recorder
+	// StateChanged is told of each change of an endpoint's state.
+	StateChanged func(endpoint string, state hop.State)
+}
+
+// Request is one attempt to run a request on an endpoint.
+type Request struct {
+	hop.Meta
+	Transport *transport.Request
+}
+
+// Owner runs requests on the endpoints of its host. It is safe for concurrent use.
+type Owner struct {
+	options  Options
+	registry *registry
+	stats    transport.Stats
+	leaving  atomic.Bool
+	held     atomic.Bool
+	lastTurn atomic.Int64
+	started  time.Time
+
+	mu        sync.RWMutex
+	endpoints map[string]*endpoint
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns an owner without endpoints; Update adds them.
+func New(options Options) *Owner {
+	return &Owner{
+		options:   options,
+		registry:  newRegistry(registryCapacity),
+		started:   time.Now(),
+		endpoints: make(map[string]*endpoint),
+		done:      make(chan struct{}),
+	}
+}
+
+// Start begins the watch over the backend servers.
+func (o *Owner) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	o.cancel = cancel
+	o.lastTurn.Store(int64(o.now()))
+	go o.watch(ctx)
+	return nil
+}
+
+// Stop ends the watch. Requests in flight are not affected.
+func (o *Owner) Stop(ctx context.Context) error {
+	o.cancel()
+	select {
+	case <-o.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Update takes over the endpoints of a new configuration.
+func (o *Owner) Update(snapshot *config.Snapshot) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	kept := make(map[string]*endpoint)
+	for _, ref := range snapshot.EndpointsOn(o.options.Host) {
+		address, ok := o.options.Backends[ref.ID]
+		if !ok {
+			continue
+		}
+		e := o.endpoints[ref.ID]
+		if e == nil {
+			e = newEndpoint(o, ref, address)
+		}
+		e.configure(ref)
+		kept[ref.ID] = e
+	}
+	for id, e := range o.endpoints {
+		if kept[id] == nil {
+			e.retire()
+		}
+	}
+	o.endpoints = kept
+}
+
+// Leave makes the owner refuse new work. Work that was admitted is finished.
+func (o *Owner) Leave() {
+	o.leaving.Store(true)
+}
+
+// Leaving reports whether the owner refuses new work.
+func (o *Owner) Leaving() bool {
+	return o.leaving.Load()
+}
+
+// Hold makes the owner refuse requests that may not be repeated until Resume, because the process was paused and its
+// configuration may be out of date.
+func (o *Owner) Hold() {
+	o.held.Store(true)
+}
+
+// Resume ends Hold.
+func (o *Owner) Resume() {
+	o.held.Store(false)
+}
+
+// Inquire returns what became of an attempt. An attempt that is not known will never be run.
+func (o *Owner) Inquire(attempt string) AttemptState {
+	return o.registry.inquire(attempt)
+}
+
+// InFlight returns the number of requests that are queued or running.
+func (o *Owner) InFlight() int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	total := 0
+	for _, e := range o.endpoints {
+		load := e.load()
+		total += load.Busy + load.Queued
+	}
+	return total
+}
+
+// Loads returns the load report of each endpoint.
+func (o *Owner) Loads() map[string]hop.Load {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	loads := make(map[string]hop.Load, len(o.endpoints))
+	for id, e := range o.endpoints {
+		loads[id] = e.load()
+	}
+	return loads
+}
+
+// Load returns the load report of one endpoint.
+func (o *Owner) Load(id string) (hop.Load, bool) {
+	e := o.endpoint(id)
+	if e == nil {
+		return hop.Load{}, false
+	}
+	return e.load(), true
+}
+
+// Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
+// frees the slot.
+func (o *Owner) Do(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	if !o.registry.begin(r.Attempt) {
+		return nil, o.refuse(r, stepAdmit, outcome.ReasonVoided, nil)
+	}
+	response, failure := o.run(ctx, r)
+	if failure != nil && failure.Outcome == outcome.Unknown {
+		o.registry.set(r.Attempt, AttemptUnknown)
+	} else if failure != nil {
+		o.registry.set(r.Attempt, AttemptNotRun)
+	}
+	o.record(r, failure)
+	return response, failure
+}
+
+func (o *Owner) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	e := o.endpoint(r.Endpoint)
+	switch {
+	case o.leaving.Load():
+		return nil, o.refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
+	case e == nil:
+		return nil, o.refuse(r, stepAdmit, outcome.ReasonUnknownEndpoint, nil)
+	}
+	return e.run(ctx, r)
+}
+
+func (o *Owner) endpoint(id string) *endpoint {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.endpoints[id]
+}
+
+func (o *Owner) refuse(r *Request, step string, reason outcome.Reason, cause error) *outcome.Error {
+	status := http.StatusServiceUnavailable
+	if reason == outcome.ReasonClaimed {
+		status = http.StatusConflict
+	}
+	return outcome.Refuse(status, reason, step, r.Endpoint, cause)
+}
+
+// pauseThreshold is the gap between two turns of the watch from which the process counts as paused.
+const pauseThreshold = time.Second
+
+// paused reports whether the process has just been paused: its watch has not had its turn for too long. A request
+// checks this right before it is dispatched, since it may run before the watch notices the pause.
+func (o *Owner) paused() bool {
+	return o.now()-time.Duration(o.lastTurn.Load()) > pauseThreshold
+}
+
+// mayRunOnce reports whether a request that may not be repeated may be dispatched with what this process believes.
+func (o *Owner) mayRunOnce() bool {
+	return !o.held.Load() && !o.paused()
+}
+
+// now returns the time since the owner was created.
+func (o *Owner) now() time.Duration {
+	return time.Since(o.started)
+}
+
+func (o *Owner) record(r *Request, failure *outcome.Error) {
+	d := decision.Decision{
+		RequestID: r.RequestID,
+		Step:      stepDispatch,
+		Service:   r.Service,
+		Route:     r.Route,
+		Taken:     r.Endpoint,
+		Outcome:   string(outcome.Answered),
+		Reason:    "admitted",
+	}
+	if failure != nil {
+		d.Step = failure.Step
+		d.Outcome = string(failure.Outcome)
+		d.Reason = string(failure.Reason)
+		d.Peer = failure.Peer
+	}
+	o.options.Decisions.Record(d)
+}
--- /dev/null
+++ b/pkg/owner/server.go
@@ -0,0 +1,103 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const (
+	stepHop = "hop"
+	// hopBodyPrefixBytes is read before a request is queued; the rest of a larger body waits in the connection.
+	hopBodyPrefixBytes = 64 << 10
+	hopBodyLimitBytes  = 1 << 40
+	hopBodyTimeout     = 10 * time.Second
+)
+
+// ServeHop handles a request of the inner hop.
+func (o *Owner) ServeHop(ctx context.Context, c *app.RequestContext) {
+	if string(c.Path()) == hop.PingPath {
+		c.SetStatusCode(http.StatusNoContent)
+		return
+	}
+	meta, err := hop.Read(&c.Request.Header)
+	if err != nil {
+		writeFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepHop, "", err))
+		return
+	}
+	o.serve(ctx, c, meta)
+}
+
+func (o *Owner) serve(parent context.Context, c *app.RequestContext, meta *hop.Meta) {
+	ctx, cancel := relay.WithDeadline(parent, meta.Remaining)
+	defer cancel()
+	echo(c, meta)
+	body, err := relay.ReadBody(c, hopBodyPrefixBytes, hopBodyLimitBytes, hopBodyTimeout)
+	if err != nil {
+		c.SetConnectionClose()
+		writeFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepHop, "", err))
+		return
+	}
+	defer relay.WatchDisconnect(c, body)()
+	request := &Request{Meta: *meta, Transport: BackendRequest(c, body, meta)}
+	response, failure := o.Do(ctx, request)
+	o.report(c, meta.Endpoint)
+	if failure != nil {
+		if !body.Whole() {
+			c.SetConnectionClose()
+		}
+		writeFailure(c, failure)
+		return
+	}
+	defer response.Close()
+	relay.CopyResponseHead(&c.Response, response.Head)
+	echo(c, meta)
+	o.report(c, meta.Endpoint)
+	c.Response.Header.Set(outcome.HeaderOutcome, string(outcome.Answered))
+	if err := relay.WriteResponse(c, response); err != nil {
+		o.recordCut(request, err)
+	}
+}
+
+// BackendRequest builds the request for the backend server from one that arrived on the inner hop.
+func BackendRequest(c *app.RequestContext, body *relay.Body, meta *hop.Meta) *transport.Request {
+	request := &transport.Request{Head: relay.RequestHead(&c.Request)}
+	request.Head.Header.Set(outcome.HeaderRequestID, meta.RequestID)
+	body.Attach(request)
+	return request
+}
+
+// echo repeats the identity of the attempt, so that the ingress can tell its own answer from any other.
+func echo(c *app.RequestContext, meta *hop.Meta) {
+	c.Response.Header.Set(outcome.HeaderRequestID, meta.RequestID)
+	c.Response.Header.Set(outcome.HeaderHopAttempt, meta.Attempt)
+}
+
+func (o *Owner) report(c *app.RequestContext, endpoint string) {
+	if load, ok := o.Load(endpoint); ok {
+		c.Response.Header.Set(outcome.HeaderHopLoad, load.String())
+	}
+}
+
+func writeFailure(c *app.RequestContext, failure *outcome.Error) {
+	c.Response.SetStatusCode(failure.Status)
+	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
+	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
+}
+
+func (o *Owner) recordCut(r *Request, err error) {
+	var exchange *transport.Error
+	reason := outcome.ReasonCancelled
+	if errors.As(err, &exchange) {
+		reason = outcome.ReasonBodyCut
+	}
+	o.record(r, outcome.Lose(0, reason, string(transport.StepBody), r.Endpoint, err))
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,338 @@
+// Package relay passes requests and responses between a server connection and a client connection: it checks the
+// framing of a request, copies heads without their connection-level fields, reads bodies with limits, and streams a
+// response so that a body which was cut short is never presented as complete.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+var (
+	// ErrFraming is returned for a request whose length is ambiguous.
+	ErrFraming = errors.New("request framing is ambiguous")
+	// ErrBodyTooLarge is returned by a body that exceeds its limit.
+	ErrBodyTooLarge = errors.New("request body exceeds the limit")
+	// ErrAborted is returned to the server so that it closes the connection of an incomplete response.
+	ErrAborted = errors.New("response was aborted")
+)
+
+// CheckFraming refuses requests that another server could split differently: a content length together with a
+// transfer encoding, several content lengths, and transfer encodings other than chunked.
+func CheckFraming(h *protocol.RequestHeader) error {
+	lengths, encodings := 0, 0
+	for _, line := range strings.Split(string(h.RawHeaders()), "\r\n") {
+		name, value, _ := strings.Cut(line, ":")
+		switch {
+		case strings.EqualFold(name, "Content-Length"):
+			lengths++
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			encodings++
+			if !strings.EqualFold(strings.TrimSpace(value), "chunked") {
+				return fmt.Errorf("%w: transfer encoding %q", ErrFraming, strings.TrimSpace(value))
+			}
+		}
+	}
+	if lengths > 1 || encodings > 1 || lengths+encodings > 1 {
+		return fmt.Errorf("%w: %d content lengths, %d transfer encodings", ErrFraming, lengths, encodings)
+	}
+	return nil
+}
+
+var connectionFields = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true,
+	"proxy-connection": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
+	"content-length": true, "expect": true,
+}
+
+// keepField reports whether a header field is passed on.
+func keepField(name string) bool {
+	lower := strings.ToLower(name)
+	if connectionFields[lower] {
+		return false
+	}
+	if strings.HasPrefix(lower, strings.ToLower(outcome.HopPrefix)) {
+		return false
+	}
+	return lower != strings.ToLower(outcome.HeaderOutcome) && lower != strings.ToLower(outcome.HeaderReason)
+}
+
+// RequestHead returns a new head with the method, the target and the passed-on fields of src.
+func RequestHead(src *protocol.Request) *protocol.Request {
+	dst := &protocol.Request{}
+	dst.Header.SetNoDefaultContentType(true)
+	dst.Header.SetMethodBytes(src.Header.Method())
+	dst.Header.SetRequestURIBytes(src.Header.RequestURI())
+	dst.Header.SetHostBytes(src.Header.Host())
+	src.Header.VisitAll(func(key, value []byte) {
+		if keepField(string(key)) {
+			dst.Header.Add(string(key), string(value))
+		}
+	})
+	return dst
+}
+
+// CopyRequest returns an independent copy of a head, so that each attempt can set fields of its own.
+func CopyRequest(head *protocol.Request) *protocol.Request {
+	dst := &protocol.Request{}
+	head.Header.CopyTo(&dst.Header)
+	return dst
+}
+
+// CopyResponseHead copies the status and the passed-on fields of a response.
+func CopyResponseHead(dst *protocol.Response, src *protocol.Response) {
+	dst.SetStatusCode(src.StatusCode())
+	dst.Header.SetNoDefaultContentType(true)
+	dst.Header.SetNoDefaultDate(len(src.Header.Peek("Date")) > 0)
+	src.Header.VisitAll(func(key, value []byte) {
+		if keepField(string(key)) {
+			dst.Header.Add(string(key), string(value))
+		}
+	})
+}
+
+// Body is a request body of which a prefix has been read into memory.
+type Body struct {
+	// Prefix holds the first bytes; it is the whole body if Rest is nil.
+	Prefix []byte
+	// Rest reads what follows the prefix.
+	Rest io.Reader
+	// Length is the announced length, or -1 if none was announced.
+	Length int64
+}
+
+// ReadBody reads up to prefixLimit bytes of a request's body. It waits at most readTimeout for each part, and the
+// whole body may not exceed limit.
+func ReadBody(c *app.RequestContext, prefixLimit int, limit int64, readTimeout time.Duration) (*Body, error) {
+	length := int64(c.Request.Header.ContentLength())
+	if length > limit {
+		return nil, fmt.Errorf("%w: %d of %d bytes", ErrBodyTooLarge, length, limit)
+	}
+	if !c.Request.IsBodyStream() || length == 0 || length < -1 {
+		return &Body{Prefix: c.Request.BodyBytes(), Length: int64(len(c.Request.BodyBytes()))}, nil
+	}
+	reader := &limitedReader{conn: c.GetConn(), source: c.Request.BodyStream(), timeout: readTimeout, left: limit}
+	if length > 0 {
+		reader.exact, reader.left = true, length
+	}
+	prefix, err := io.ReadAll(io.LimitReader(reader, int64(prefixLimit)))
+	if err != nil {
+		return nil, err
+	}
+	if len(prefix) < prefixLimit || reader.ended {
+		return &Body{Prefix: prefix, Length: int64(len(prefix))}, nil
+	}
+	return &Body{Prefix: prefix, Rest: reader, Length: length}, nil
+}
+
+// Whole reports whether the body is in memory, so that it can be sent more than once.
+func (b *Body) Whole() bool {
+	return b.Rest == nil
+}
+
+// Attach sets the body of a request to send.
+func (b *Body) Attach(r *transport.Request) {
+	r.Length = b.Length
+	switch {
+	case b.Rest != nil:
+		r.Body = io.MultiReader(bytes.NewReader(b.Prefix), b.Rest)
+	case len(b.Prefix) > 0:
+		r.Body = bytes.NewReader(b.Prefix)
+	}
+}
+
+// limitedReader reads a request body with a timeout for each read. It never reads past an announced length, since
+// hertz's stream would otherwise take bytes of the next request on the connection.
+type limitedReader struct {
+	conn    network.Conn
+	source  io.Reader
+	timeout time.Duration
+	left    int64
+	exact   bool
+	ended   bool
+	onEnd   func()
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.ended {
+		return 0, io.EOF
+	}
+	if l.left == 0 && l.exact {
+		l.end()
+		return 0, io.EOF
+	}
+	if l.exact && int64(len(p)) > l.left {
+		p = p[:l.left]
+	}
+	if err := l.conn.SetReadTimeout(l.timeout); err != nil {
+		return 0, err
+	}
+	n, err := l.source.Read(p)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, ErrBodyTooLarge
+	}
+	if err == io.EOF || (l.exact && l.left == 0) {
+		l.end()
+		return n, io.EOF
+	}
+	return n, err
+}
+
+func (l *limitedReader) end() {
+	l.ended = true
+	if l.onEnd != nil {
+		l.onEnd()
+	}
+}
+
+// disconnectWatcher is implemented by hertz's connections when they sense disconnection.
+type disconnectWatcher interface {
+	DetectConnectionClose()
+	AbortBlockingRead()
+}
+
+// WatchDisconnect cancels the handler's context when the sender disconnects. hertz does so by itself only for requests
+// without a body stream. The watch starts once the body was read to its end, since both read from the connection. The
+// returned function ends the watch.
+func WatchDisconnect(c *app.RequestContext, body *Body) (stop func()) {
+	watcher, ok := c.GetConn().(disconnectWatcher)
+	if !ok || !c.Request.IsBodyStream() {
+		return func() {}
+	}
+	started := false
+	start := func() {
+		started = true
+		watcher.DetectConnectionClose()
+	}
+	if rest, streamed := body.Rest.(*limitedReader); streamed {
+		rest.onEnd = start
+	} else {
+		start()
+	}
+	return func() {
+		if started {
+			watcher.AbortBlockingRead()
+		}
+	}
+}
+
+// WriteResponse streams a response to the caller. The response head must already be copied to c.Response. It returns
+// an error if the body did not reach its end; the connection is then closed so that the caller sees the cut.
+func WriteResponse(c *app.RequestContext, r *transport.Response) error {
+	if c.Request.Header.IsHead() || r.Complete() {
+		if r.Length >= 0 {
+			c.Response.Header.SetContentLength(int(r.Length))
+		}
+		return nil
+	}
+	w := newResponseWriter(c, r.Length)
+	c.Response.HijackWriter(w)
+	err := stream(w, r.Body)
+	if err == nil {
+		return nil
+	}
+	w.aborted = true
+	c.Response.SetConnectionClose()
+	_ = c.GetConn().Close()
+	return err
+}
+
+const copyBufferBytes = 32 << 10
+
+// stream copies a body and flushes after each read, so that the caller sees bytes as they arrive.
+func stream(w *responseWriter, body io.Reader) error {
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, readErr := body.Read(buffer)
+		if n > 0 {
+			if err := w.send(buffer[:n]); err != nil {
+				return fmt.Errorf("write response: %w", err)
+			}
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
+
+// responseWriter writes a response body with an announced length as it is, and any other in chunks. An aborted
+// response is not finalized.
+type responseWriter struct {
+	network.ExtWriter
+	aborted bool
+}
+
+func newResponseWriter(c *app.RequestContext, length int64) *responseWriter {
+	if length < 0 {
+		return &responseWriter{ExtWriter: resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())}
+	}
+	c.Response.Header.SetContentLength(int(length))
+	return &responseWriter{ExtWriter: &fixedWriter{response: &c.Response, writer: c.GetWriter()}}
+}
+
+func (w *responseWriter) send(p []byte) error {
+	if _, err := w.Write(p); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// Finalize ends the response, or reports that it was aborted.
+func (w *responseWriter) Finalize() error {
+	if w.aborted {
+		return ErrAborted
+	}
+	return w.ExtWriter.Finalize()
+}
+
+// fixedWriter writes a body whose length is announced in the head.
+type fixedWriter struct {
+	response *protocol.Response
+	writer   network.Writer
+	started  bool
+}
+
+func (w *fixedWriter) Write(p []byte) (int, error) {
+	if err := w.start(); err != nil {
+		return 0, err
+	}
+	return w.writer.WriteBinary(p)
+}
+
+func (w *fixedWriter) Flush() error {
+	return w.writer.Flush()
+}
+
+func (w *fixedWriter) Finalize() error {
+	return w.start()
+}
+
+func (w *fixedWriter) start() error {
+	if w.started {
+		return nil
+	}
+	w.started = true
+	return resp.WriteHeader(&w.response.Header, w.writer)
+}
+
+// WithDeadline returns a context that ends after the given time or when parent does.
+func WithDeadline(parent context.Context, remaining time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(parent, remaining, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/pkg/transport/exchange.go
@@ -0,0 +1,257 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+)
+
+// ErrTruncated is returned by a body that ended before its announced end.
+var ErrTruncated = errors.New("response body is truncated")
+
+const (
+	// maxInterimResponses bounds the 1xx responses accepted before the final one.
+	maxInterimResponses = 8
+	// maxChunkRead stays below the read buffer, since the chunk decoder peeks what it reads.
+	maxChunkRead = readBufferBytes / 2
+	// lengthChunked and lengthUntilClose are hertz's codes in place of a content length.
+	lengthChunked    = -1
+	lengthUntilClose = -2
+)
+
+// Pending is a request that was sent and whose response has not arrived. Await must be called once.
+type Pending struct {
+	ctx    context.Context
+	pool   *Pool
+	conn   *conn
+	isHead bool
+	sent   atomic.Bool
+	stop   func() bool
+
+	mu    sync.Mutex
+	cause error
+}
+
+func newPending(ctx context.Context, pool *Pool, c *conn, request *Request) *Pending {
+	p := &Pending{ctx: ctx, pool: pool, conn: c, isHead: request.Head.Header.IsHead()}
+	p.stop = context.AfterFunc(ctx, c.close)
+	return p
+}
+
+// Abort closes the connection and makes Await or the response body fail with cause.
+func (p *Pending) Abort(cause error) {
+	p.mu.Lock()
+	if p.cause == nil {
+		p.cause = cause
+	}
+	p.mu.Unlock()
+	p.conn.close()
+}
+
+// Received returns the number of bytes that have arrived on the connection since it was opened.
+func (p *Pending) Received() int64 {
+	return p.conn.received.Load()
+}
+
+// Await reads the head of the response.
+func (p *Pending) Await() (*Response, error) {
+	head := &protocol.Response{}
+	if err := p.readHead(head); err != nil {
+		p.abandon()
+		return nil, p.fail(StepRead, err)
+	}
+	return p.newResponse(head), nil
+}
+
+func (p *Pending) readHead(head *protocol.Response) error {
+	for range maxInterimResponses {
+		if err := resp.ReadHeader(&head.Header, p.conn); err != nil {
+			return err
+		}
+		status := head.StatusCode()
+		if status >= 200 || status == consts.StatusSwitchingProtocols {
+			return nil
+		}
+		head.Header.Reset()
+	}
+	return fmt.Errorf("more than %d interim responses", maxInterimResponses)
+}
+
+func (p *Pending) newResponse(head *protocol.Response) *Response {
+	r := &Response{Head: head, Length: int64(head.Header.ContentLength()), pending: p}
+	status := head.StatusCode()
+	noBody := p.isHead || status == consts.StatusNoContent || status == consts.StatusNotModified
+	switch {
+	case noBody || r.Length == 0:
+		r.Body = &body{response: r, reader: bytes.NewReader(nil), left: 0}
+		r.complete = true
+	case r.Length == lengthChunked:
+		empty := &bytebufferpool.ByteBuffer{}
+		chunks := ext.AcquireBodyStream(empty, p.conn, head.Header.Trailer(), lengthChunked)
+		r.Body = &body{response: r, reader: chunks, left: lengthChunked}
+	case r.Length == lengthUntilClose:
+		r.Body = &body{response: r, reader: p.conn, left: lengthUntilClose}
+	default:
+		r.Body = &body{response: r, reader: p.conn, left: r.Length}
+	}
+	return r
+}
+
+// abandon closes the connection; it is never reused.
+func (p *Pending) abandon() {
+	p.stop()
+	p.conn.close()
+}
+
+// fail returns the error of the exchange, preferring the reason for which this side closed the connection.
+func (p *Pending) fail(step Step, err error) error {
+	p.mu.Lock()
+	cause := p.cause
+	p.mu.Unlock()
+	switch {
+	case cause != nil:
+		err = cause
+	case errors.Is(err, ErrBodySource):
+	case p.ctx.Err() != nil:
+		err = context.Cause(p.ctx)
+	}
+	return &Error{Step: step, Address: p.pool.address, Sent: p.sent.Load(), Reused: p.conn.reused, Err: err}
+}
+
+// Response is a response whose head has arrived.
+type Response struct {
+	Head *protocol.Response
+	// Length is the announced length of the body, or negative if none was announced.
+	Length int64
+	// Body ends with io.EOF only if it is complete.
+	Body io.Reader
+
+	pending       *Pending
+	complete      bool
+	closed        bool
+	keepIdleSince time.Time
+	onClose       []func()
+}
+
+// OnClose registers a function that runs when the response is closed.
+func (r *Response) OnClose(f func()) {
+	r.onClose = append(r.onClose, f)
+}
+
+// Complete reports whether the body was read to its end.
+func (r *Response) Complete() bool {
+	return r.complete
+}
+
+// Abort closes the connection and makes the body fail with cause.
+func (r *Response) Abort(cause error) {
+	if r.pending != nil {
+		r.pending.Abort(cause)
+	}
+}
+
+// Close returns the connection to its pool if the body was read to its end and closes it otherwise.
+func (r *Response) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	if r.pending != nil {
+		r.releaseConn()
+	}
+	for _, f := range r.onClose {
+		f()
+	}
+}
+
+func (r *Response) releaseConn() {
+	stillOpen := r.pending.stop()
+	reusable := r.complete && stillOpen && r.Length != lengthUntilClose && !r.Head.ConnectionClose()
+	if !reusable {
+		r.pending.conn.close()
+		return
+	}
+	idleSince := r.keepIdleSince
+	if idleSince.IsZero() {
+		idleSince = time.Now()
+	}
+	r.pending.pool.release(r.pending.conn, idleSince)
+}
+
+// body reads a response body and checks that it is complete.
+type body struct {
+	response *Response
+	reader   io.Reader
+	left     int64
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	switch b.left {
+	case 0:
+		b.response.complete = true
+		return 0, io.EOF
+	case lengthChunked:
+		return b.readChunk(p)
+	case lengthUntilClose:
+		return b.finish(b.reader.Read(p))
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.reader.Read(p)
+	b.left -= int64(n)
+	if b.left == 0 {
+		b.response.complete = true
+		return n, io.EOF
+	}
+	if err == io.EOF {
+		err = ErrTruncated
+	}
+	return n, b.wrap(err)
+}
+
+func (b *body) readChunk(p []byte) (int, error) {
+	if len(p) > maxChunkRead {
+		p = p[:maxChunkRead]
+	}
+	return b.finish(b.reader.Read(p))
+}
+
+func (b *body) finish(n int, err error) (int, error) {
+	if err == io.EOF {
+		b.response.complete = true
+		return n, io.EOF
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		err = ErrTruncated
+	}
+	return n, b.wrap(err)
+}
+
+func (b *body) wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	return b.response.pending.fail(StepBody, err)
+}
+
+// IsTimeout reports whether an exchange failed because its deadline passed.
+func IsTimeout(err error) bool {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- /dev/null
+++ b/pkg/transport/pool.go
@@ -0,0 +1,266 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+)
+
+// Step names the part of an exchange in which an error arose.
+type Step string
+
+// Steps of an exchange.
+const (
+	StepConnect Step = "connect"
+	StepWrite   Step = "write"
+	StepRead    Step = "read"
+	StepBody    Step = "body"
+)
+
+// ErrBodySource marks an error of the sender's own body, as opposed to one of the connection.
+var ErrBodySource = errors.New("request body could not be read")
+
+// Error is a failed exchange.
+type Error struct {
+	Step    Step
+	Address string
+	// Sent is false only if no byte of the request left this process.
+	Sent bool
+	// Reused says that the connection had carried earlier requests.
+	Reused bool
+	Err    error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s %s: %v", e.Step, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Options tune a pool.
+type Options struct {
+	ConnectTimeout time.Duration
+	// IdleTimeout closes connections that were not used for this long.
+	IdleTimeout time.Duration
+	MaxIdle     int
+	// Ping is the request with which idle connections are verified in the background; nil for none.
+	Ping func() *Request
+	// PingTimeout bounds the wait for the response to a ping.
+	PingTimeout time.Duration
+}
+
+// Request is a request to send. The body is nil if there is none; a length of -1 means chunked encoding.
+type Request struct {
+	Head   *protocol.Request
+	Body   io.Reader
+	Length int64
+}
+
+// Stats counts events of a pool.
+type Stats struct {
+	Dialed, Reused, Discarded, Silent atomic.Uint64
+}
+
+// Pool keeps connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address string
+	options Options
+	stats   *Stats
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// NewPool returns a pool without connections. Stats may be shared between pools.
+func NewPool(address string, options Options, stats *Stats) *Pool {
+	return &Pool{address: address, options: options, stats: stats}
+}
+
+// Address returns the address of the peer.
+func (p *Pool) Address() string {
+	return p.address
+}
+
+// Send writes a request and returns without waiting for the response. The context bounds the whole exchange up to the
+// last byte of the response body: when it ends, the connection is closed.
+func (p *Pool) Send(ctx context.Context, request *Request) (*Pending, error) {
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return nil, &Error{Step: StepConnect, Address: p.address, Err: err}
+	}
+	pending := newPending(ctx, p, c, request)
+	if err := pending.write(request); err != nil {
+		pending.abandon()
+		return nil, pending.fail(StepWrite, err)
+	}
+	return pending, nil
+}
+
+// Close closes the idle connections and lets connections in use be closed after their response.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
+// Maintain verifies idle connections with a ping and closes those that were not used for the idle timeout. It is
+// called periodically.
+func (p *Pool) Maintain(now time.Time) {
+	for _, c := range p.takeIdle(now) {
+		go p.verify(c)
+	}
+}
+
+// takeIdle closes expired connections and removes the others from the pool so that they can be pinged.
+func (p *Pool) takeIdle(now time.Time) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var taken, kept []*conn
+	for _, c := range p.idle {
+		switch {
+		case now.Sub(c.idleSince) > p.options.IdleTimeout:
+			c.close()
+		case p.options.Ping == nil:
+			kept = append(kept, c)
+		default:
+			taken = append(taken, c)
+		}
+	}
+	p.idle = kept
+	return taken
+}
+
+// verify pings one idle connection and returns it to the pool if it answers. The idle time is kept, so that pings do
+// not keep an unused connection open for ever.
+func (p *Pool) verify(c *conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.options.PingTimeout)
+	defer cancel()
+	idleSince := c.idleSince
+	request := p.options.Ping()
+	pending := newPending(ctx, p, c, request)
+	if err := pending.write(request); err != nil {
+		pending.abandon()
+		p.stats.Silent.Add(1)
+		return
+	}
+	response, err := pending.Await()
+	if err != nil {
+		p.stats.Silent.Add(1)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.keepIdleSince = idleSince
+	response.Close()
+}
+
+func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+	for {
+		c := p.popIdle()
+		if c == nil {
+			break
+		}
+		if c.usable() {
+			p.stats.Reused.Add(1)
+			c.reused = true
+			return c, nil
+		}
+		p.stats.Discarded.Add(1)
+		c.close()
+	}
+	p.stats.Dialed.Add(1)
+	return dial(ctx, p.address, p.options.ConnectTimeout)
+}
+
+func (p *Pool) popIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) release(c *conn, idleSince time.Time) {
+	c.idleSince = idleSince
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= p.options.MaxIdle {
+		c.close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// write sends the request head and body. It returns the number of body bytes through the caller's reader only.
+func (p *Pending) write(request *Request) error {
+	if request.Body == nil {
+		if err := req.Write(request.Head, p.conn); err != nil {
+			return err
+		}
+		return p.flush()
+	}
+	request.Head.Header.SetContentLength(int(request.Length))
+	if err := req.WriteHeader(&request.Head.Header, p.conn); err != nil {
+		return err
+	}
+	source := &sourceReader{reader: request.Body}
+	err := p.writeBody(request, source)
+	if source.err != nil {
+		return fmt.Errorf("%w: %w", ErrBodySource, source.err)
+	}
+	if err != nil {
+		return err
+	}
+	return p.flush()
+}
+
+func (p *Pending) writeBody(request *Request, source io.Reader) error {
+	p.sent.Store(true)
+	if request.Length >= 0 {
+		return ext.WriteBodyFixedSize(p.conn, source, request.Length)
+	}
+	if err := ext.WriteBodyChunked(p.conn, source); err != nil {
+		return err
+	}
+	return ext.WriteTrailer(request.Head.Header.Trailer(), p.conn)
+}
+
+func (p *Pending) flush() error {
+	p.sent.Store(true)
+	return p.conn.Flush()
+}
+
+// sourceReader remembers an error of the body that is being sent.
+type sourceReader struct {
+	reader io.Reader
+	err    error
+}
+
+func (s *sourceReader) Read(b []byte) (int, error) {
+	n, err := s.reader.Read(b)
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
