Add first versions of routing, admission, retry and health decisions

The data path needs the calls of these packages. core/balance: power of two choices with zone preference, over a list or over a sampled source. core/admission: slots, earliest deadline first by class, refusal by expected wait, requests that run alone. core/retry: budget and eligibility. core/health: rank-based CUSUM relative to peers, one shared state machine, rendezvous floor.

Ruled out: a state machine for each endpoint, which takes kilobytes each at 52,000 endpoints.

--- /dev/null
+++ b/core/admission/admission.go
@@ -0,0 +1,375 @@
+// Package admission decides on the owner of an endpoint which requests run, wait or are refused.
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Settings describe the endpoint and its queue.
+type Settings struct {
+	Slots      int
+	QueueLimit int
+	// LongReserve is the number of slots that long requests leave free. One slot is always open to them.
+	LongReserve int
+}
+
+// Item is a request offered to the endpoint.
+type Item struct {
+	ID       string
+	Long     bool
+	Deadline time.Duration
+	// Alone requests run only while no other request runs on the endpoint.
+	Alone bool
+}
+
+// Verdict says what happens to an offered item.
+type Verdict int
+
+// Verdicts of Offer.
+const (
+	Run Verdict = iota
+	Queued
+	Refused
+)
+
+// Reason names the rule behind a refusal.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	ReasonNone     Reason = ""
+	ReasonFull     Reason = "queue-full"
+	ReasonDeadline Reason = "deadline"
+	ReasonLeaving  Reason = "leaving"
+	ReasonRepeated Reason = "repeated-id"
+)
+
+// Decision is the answer to an offer.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// Wait is the expected wait of a queued or refused item.
+	Wait time.Duration
+}
+
+// Load is the load of the endpoint.
+type Load struct {
+	Busy   int
+	Queued int
+	Slots  int
+}
+
+const (
+	// aloneHold bounds how long other requests are kept waiting so that the endpoint becomes idle for a request that
+	// runs alone; afterwards they run for aloneGap before the next try.
+	aloneHold = 500 * time.Millisecond
+	aloneGap  = 500 * time.Millisecond
+	// estimateShare is the weight of the latest service time in the running mean of its class.
+	estimateShare = 0.1
+)
+
+type running struct {
+	item  Item
+	start time.Duration
+}
+
+// Queue is the slots and the queue of one endpoint. Short requests run before long ones; within a class the earliest
+// deadline runs first.
+type Queue struct {
+	settings  Settings
+	running   map[string]running
+	short     []Item
+	long      []Item
+	alone     []Item
+	expired   []Item
+	meanShort time.Duration
+	meanLong  time.Duration
+	longBusy  int
+	aloneBusy bool
+	draining  bool
+	holdUntil time.Duration
+	gapUntil  time.Duration
+	holding   bool
+}
+
+// New returns an empty queue.
+func New(s Settings) *Queue {
+	q := &Queue{running: map[string]running{}}
+	q.Configure(s)
+	return q
+}
+
+// Configure replaces the settings. Requests that run or wait are not affected.
+func (q *Queue) Configure(s Settings) {
+	s.Slots = max(s.Slots, 1)
+	s.LongReserve = max(s.LongReserve, 0)
+	q.settings = s
+}
+
+// Resize changes the number of slots.
+func (q *Queue) Resize(slots int) {
+	q.settings.Slots = max(slots, 1)
+}
+
+// Drain makes the queue refuse new requests. Queued ones still run.
+func (q *Queue) Drain() {
+	q.draining = true
+}
+
+// Load returns the number of busy slots, queued requests and slots.
+func (q *Queue) Load() Load {
+	return Load{Busy: len(q.running), Queued: q.queued(), Slots: q.settings.Slots}
+}
+
+// Offer asks for a request to be run. A request that would wait beyond its deadline is refused at once.
+func (q *Queue) Offer(now time.Duration, item Item) Decision {
+	switch {
+	case q.draining:
+		return Decision{Verdict: Refused, Reason: ReasonLeaving}
+	case q.known(item.ID):
+		return Decision{Verdict: Refused, Reason: ReasonRepeated}
+	case item.Deadline <= now:
+		return Decision{Verdict: Refused, Reason: ReasonDeadline}
+	}
+	if q.mayStart(now, item) && q.firstInLine(item) {
+		q.start(now, item)
+		return Decision{Verdict: Run}
+	}
+	wait := q.expectedWait(now, item)
+	if q.full(item) {
+		return Decision{Verdict: Refused, Reason: ReasonFull, Wait: wait}
+	}
+	if now+wait+q.mean(item.Long) > item.Deadline {
+		return Decision{Verdict: Refused, Reason: ReasonDeadline, Wait: wait}
+	}
+	q.insert(item)
+	return Decision{Verdict: Queued, Wait: wait}
+}
+
+// Done records that a running request has ended. A negative service time ends it without learning from it.
+func (q *Queue) Done(_ time.Duration, id string, serviceTime time.Duration) {
+	r, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	if r.item.Long {
+		q.longBusy--
+	}
+	if r.item.Alone {
+		q.aloneBusy = false
+	}
+	if serviceTime >= 0 {
+		q.learn(r.item.Long, serviceTime)
+	}
+}
+
+// Next starts and returns the queued requests that may run now. A request whose deadline can no longer be met is not
+// started; Expire returns it.
+func (q *Queue) Next(now time.Duration) []Item {
+	q.dropLate(now)
+	var started []Item
+	for {
+		item, ok := q.head(now)
+		if !ok {
+			return started
+		}
+		q.remove(item.ID)
+		q.start(now, item)
+		started = append(started, item)
+	}
+}
+
+// Expire removes and returns the queued requests whose deadline cannot be met any more.
+func (q *Queue) Expire(now time.Duration) []Item {
+	q.dropLate(now)
+	expired := q.expired
+	q.expired = nil
+	return expired
+}
+
+// Cancel removes a queued request and reports whether it was queued. A request that runs is not affected.
+func (q *Queue) Cancel(id string) bool {
+	return q.remove(id)
+}
+
+func (q *Queue) queued() int {
+	return len(q.short) + len(q.long) + len(q.alone)
+}
+
+func (q *Queue) known(id string) bool {
+	if _, ok := q.running[id]; ok {
+		return true
+	}
+	same := func(i Item) bool { return i.ID == id }
+	return slices.ContainsFunc(q.short, same) || slices.ContainsFunc(q.long, same) || slices.ContainsFunc(q.alone, same)
+}
+
+// full reports whether the queue has no place for the item. Long requests use at most half of the places, so that
+// short ones are not refused because of waiting long ones.
+func (q *Queue) full(item Item) bool {
+	if q.queued() >= q.settings.QueueLimit {
+		return true
+	}
+	return item.Long && len(q.long) >= max(1, q.settings.QueueLimit/2)
+}
+
+func (q *Queue) longSlots() int {
+	return max(1, q.settings.Slots-q.settings.LongReserve)
+}
+
+func (q *Queue) mayStart(now time.Duration, item Item) bool {
+	if q.aloneBusy || len(q.running) >= q.settings.Slots {
+		return false
+	}
+	if item.Alone {
+		return len(q.running) == 0
+	}
+	if item.Long && q.longBusy >= q.longSlots() {
+		return false
+	}
+	return !q.holdsForAlone(now)
+}
+
+// firstInLine reports whether no queued request goes before the item.
+func (q *Queue) firstInLine(item Item) bool {
+	if item.Alone {
+		return len(q.alone) == 0
+	}
+	line := q.line(item)
+	return len(*line) == 0 && (!item.Long || len(q.short) == 0)
+}
+
+// holdsForAlone reports whether other requests are kept waiting for one that runs alone. Holding alternates with gaps
+// in which the others run, so neither side starves.
+func (q *Queue) holdsForAlone(now time.Duration) bool {
+	if len(q.alone) == 0 {
+		q.holding = false
+		return false
+	}
+	if q.holding && now >= q.holdUntil {
+		q.holding = false
+		q.gapUntil = now + aloneGap
+	}
+	if !q.holding && now >= q.gapUntil {
+		q.holding = true
+		q.holdUntil = now + aloneHold
+	}
+	return q.holding
+}
+
+func (q *Queue) start(now time.Duration, item Item) {
+	q.running[item.ID] = running{item: item, start: now}
+	if item.Long {
+		q.longBusy++
+	}
+	if item.Alone {
+		q.aloneBusy = true
+		q.holding = false
+		// The others get their turn before the next request that runs alone.
+		q.gapUntil = now + aloneGap
+	}
+}
+
+func (q *Queue) head(now time.Duration) (Item, bool) {
+	if len(q.alone) > 0 && q.mayStart(now, q.alone[0]) && (now >= q.gapUntil || len(q.short)+len(q.long) == 0) {
+		return q.alone[0], true
+	}
+	if len(q.short) > 0 && q.mayStart(now, q.short[0]) {
+		return q.short[0], true
+	}
+	if len(q.long) > 0 && q.mayStart(now, q.long[0]) {
+		return q.long[0], true
+	}
+	return Item{}, false
+}
+
+func (q *Queue) line(item Item) *[]Item {
+	switch {
+	case item.Alone:
+		return &q.alone
+	case item.Long:
+		return &q.long
+	default:
+		return &q.short
+	}
+}
+
+func (q *Queue) insert(item Item) {
+	line := q.line(item)
+	at, _ := slices.BinarySearchFunc(*line, item.Deadline, func(i Item, d time.Duration) int {
+		if i.Deadline <= d {
+			return -1
+		}
+		return 1
+	})
+	*line = slices.Insert(*line, at, item)
+}
+
+func (q *Queue) remove(id string) bool {
+	for _, line := range []*[]Item{&q.short, &q.long, &q.alone} {
+		at := slices.IndexFunc(*line, func(i Item) bool { return i.ID == id })
+		if at >= 0 {
+			*line = slices.Delete(*line, at, at+1)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) dropLate(now time.Duration) {
+	for _, line := range []*[]Item{&q.short, &q.long, &q.alone} {
+		*line = slices.DeleteFunc(*line, func(i Item) bool {
+			late := i.Deadline <= now+q.mean(i.Long)/2
+			if late {
+				q.expired = append(q.expired, i)
+			}
+			return late
+		})
+	}
+}
+
+func (q *Queue) mean(long bool) time.Duration {
+	if long {
+		return q.meanLong
+	}
+	return q.meanShort
+}
+
+func (q *Queue) learn(long bool, serviceTime time.Duration) {
+	mean := &q.meanShort
+	if long {
+		mean = &q.meanLong
+	}
+	if *mean == 0 {
+		*mean = serviceTime
+		return
+	}
+	*mean += time.Duration(estimateShare * float64(serviceTime-*mean))
+}
+
+// expectedWait estimates the time until the item would start: the work that runs or goes before it, spread over the
+// slots. The remaining time of a request is its class mean, or its age once that is larger: a request that has run for
+// long is expected to run on.
+func (q *Queue) expectedWait(now time.Duration, item Item) time.Duration {
+	var work time.Duration
+	for _, r := range q.running {
+		work += max(q.mean(r.item.Long)/2, min(now-r.start, q.mean(r.item.Long)*4))
+	}
+	ahead := 0
+	for _, other := range q.short {
+		if item.Long || item.Alone || other.Deadline <= item.Deadline {
+			ahead++
+		}
+	}
+	work += time.Duration(ahead) * q.meanShort
+	if item.Long || item.Alone {
+		work += time.Duration(len(q.long)) * q.meanLong
+	}
+	slots := q.settings.Slots
+	if item.Long {
+		slots = q.longSlots()
+	}
+	return work / time.Duration(slots)
+}
--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,503 @@
+// Package health detects failing endpoints of a service from the outcomes of its requests, as seen from one place.
+//
+// Each endpoint has a score: a cumulative sum (CUSUM) of the log likelihood ratio of "fails" against "is as its peers
+// are". Outcomes are compared with the service's peers as seen from the same place, so that a slow service, a slow
+// zone or a load peak raises all scores alike and ejects no endpoint. A protected set, computed in the same way by
+// every view, keeps the floor of the service's capacity.
+package health
+
+import (
+	"time"
+)
+
+// Kind is the kind of an outcome.
+type Kind uint8
+
+// Kinds of outcomes.
+const (
+	Success Kind = iota
+	Failure
+	Timeout
+	// Neutral outcomes say nothing about the endpoint, such as a caller's cancellation.
+	Neutral
+)
+
+// Settings tune the detector. The zero value means the defaults.
+type Settings struct {
+	SuspectScore  float64
+	EjectScore    float64
+	HoldOff       time.Duration
+	HoldOffMax    time.Duration
+	Ramp          time.Duration
+	ProbeInterval time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultSuspectScore  = 9.0
+	DefaultEjectScore    = 18.0
+	DefaultHoldOff       = 2 * time.Second
+	DefaultHoldOffMax    = 5 * time.Minute
+	DefaultRamp          = 5 * time.Second
+	DefaultProbeInterval = 250 * time.Millisecond
+)
+
+// WithDefaults replaces zero values by the defaults.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.SuspectScore, DefaultSuspectScore)
+	setDefault(&s.EjectScore, DefaultEjectScore)
+	setDefault(&s.HoldOff, DefaultHoldOff)
+	setDefault(&s.HoldOffMax, DefaultHoldOffMax)
+	setDefault(&s.Ramp, DefaultRamp)
+	setDefault(&s.ProbeInterval, DefaultProbeInterval)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Endpoint is an endpoint as configured and as last reported. Unavailable means leaving, draining or down; Cold
+// endpoints may be used but do not count towards the floor.
+type Endpoint struct {
+	ID          string
+	Slots       int
+	Zone        string
+	Unavailable bool
+	Cold        bool
+}
+
+// Transition is a change of an endpoint's state.
+type Transition struct {
+	Endpoint string
+	From     State
+	To       State
+	Score    float64
+	Reason   string
+}
+
+// View is what the choice of an endpoint needs to know about it.
+type View struct {
+	State      State
+	Score      float64
+	Weight     float64
+	LastResort bool
+	Protected  bool
+	Reason     string
+}
+
+// Reasons of transitions.
+const (
+	ReasonEvidence  = "evidence"
+	ReasonCleared   = "evidence-cleared"
+	ReasonHoldOff   = "hold-off-passed"
+	ReasonProtected = "floor"
+	ReasonProbes    = "probes-passed"
+	ReasonProbe     = "probe-failed"
+	ReasonRamped    = "ramped"
+)
+
+const (
+	// probesToPass is the number of successive good probes that end the probation.
+	probesToPass = 3
+	// minWeight is the share of traffic with which ramping starts, and coldWeight the highest share of an endpoint
+	// that still reports to be cold.
+	minWeight  = 0.05
+	coldWeight = 0.5
+	// forgiveAfter is the healthy time, in units of the current hold-off, after which one ejection is forgiven.
+	forgiveAfter = 10
+	maxFlaps     = 30
+)
+
+type openRequest struct {
+	id    uint64
+	begin time.Duration
+	long  bool
+}
+
+type endpoint struct {
+	Endpoint
+	rank      uint64
+	state     State
+	protected bool
+	active    bool
+	evidence  evidence
+	open      []openRequest
+
+	flaps      int
+	until      time.Duration // end of the hold-off
+	goodSince  time.Duration // start of the healthy time that forgives an ejection
+	rampStart  time.Duration
+	ramps      bool
+	lastProbe  time.Duration
+	probing    bool
+	probe      uint64
+	passes     int
+	reason     string
+	ownerScore float64
+	ownerAt    time.Duration
+}
+
+// Detector is the view of one service from one place. It is not safe for concurrent use.
+type Detector struct {
+	service      string
+	settings     Settings
+	floorPercent int
+	byID         map[string]*endpoint
+	order        []*endpoint
+	active       []*endpoint
+	groups       map[string]*group
+	recent       recentEvidence
+	failures     float64
+}
+
+// NewDetector returns a detector without endpoints.
+func NewDetector(service string, s Settings) *Detector {
+	return &Detector{
+		service:  service,
+		settings: s.WithDefaults(),
+		byID:     map[string]*endpoint{},
+		groups:   map[string]*group{},
+	}
+}
+
+// SetEndpoints replaces the endpoints and the floor. Known endpoints keep their state, except that those that become
+// protected return to rotation at once.
+func (d *Detector) SetEndpoints(now time.Duration, endpoints []Endpoint, floorPercent int) []Transition {
+	known := d.byID
+	d.byID = make(map[string]*endpoint, len(endpoints))
+	d.order = d.order[:0]
+	d.floorPercent = floorPercent
+	for _, spec := range endpoints {
+		e, ok := known[spec.ID]
+		if !ok {
+			e = &endpoint{rank: rank(d.service, spec.ID), goodSince: now}
+		}
+		e.update(now, spec)
+		d.byID[spec.ID] = e
+		d.order = append(d.order, e)
+		d.activate(e)
+	}
+	d.sortOrder()
+	return d.refloor(now)
+}
+
+// SetAvailability updates one endpoint as SetEndpoints does.
+func (d *Detector) SetAvailability(now time.Duration, id string, unavailable, cold bool) []Transition {
+	e, ok := d.byID[id]
+	if !ok || (e.Unavailable == unavailable && e.Cold == cold) {
+		return nil
+	}
+	spec := e.Endpoint
+	spec.Unavailable, spec.Cold = unavailable, cold
+	e.update(now, spec)
+	d.activate(e)
+	return d.refloor(now)
+}
+
+func (e *endpoint) update(now time.Duration, spec Endpoint) {
+	if spec.Cold && !e.Cold {
+		e.startRamp(now)
+	}
+	if e.Cold && !spec.Cold {
+		// The rest of the ramp starts at the share that the cold endpoint had.
+		e.ramps = true
+	}
+	e.Endpoint = spec
+}
+
+func (e *endpoint) startRamp(now time.Duration) {
+	e.ramps = true
+	e.rampStart = now
+}
+
+// refloor recomputes the protected set and returns ejected endpoints that are now in it to rotation.
+func (d *Detector) refloor(now time.Duration) []Transition {
+	d.protect()
+	var changes []Transition
+	for _, e := range d.order {
+		if e.protected && (e.state == Ejected || e.state == Probation) {
+			changes = d.move(changes, now, e, triggerProtect, ReasonProtected)
+		}
+	}
+	return changes
+}
+
+func (d *Detector) move(changes []Transition, now time.Duration, e *endpoint, t trigger, reason string) []Transition {
+	from := e.state
+	e.fire(t)
+	e.reason = reason
+	switch e.state {
+	case Healthy:
+		e.goodSince = now
+	case Ejected:
+		e.flaps = min(e.flaps+1, maxFlaps)
+		e.until = now + d.holdOff(e)
+		e.evidence = evidence{}
+		e.passes = 0
+		e.ramps = false
+	case Probation:
+		e.passes = 0
+	case Ramping:
+		e.evidence = evidence{}
+		e.startRamp(now)
+	}
+	d.activate(e)
+	return append(changes, Transition{Endpoint: e.ID, From: from, To: e.state, Score: e.evidence.score, Reason: reason})
+}
+
+// holdOff is the time for which the endpoint stays out after its latest ejection.
+func (d *Detector) holdOff(e *endpoint) time.Duration {
+	hold := d.settings.HoldOff
+	for range e.flaps - 1 {
+		hold *= 2
+		if hold >= d.settings.HoldOffMax {
+			return d.settings.HoldOffMax
+		}
+	}
+	return hold
+}
+
+// Begin records that a request was sent to an endpoint.
+func (d *Detector) Begin(now time.Duration, endpointID string, id uint64, long bool) {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return
+	}
+	e.open = append(e.open, openRequest{id: id, begin: now, long: long})
+	if e.probing && e.probe == 0 {
+		e.probe = id
+	}
+	d.activate(e)
+}
+
+// End records how a request ended. The latency is the time that the endpoint needed; it excludes the time for which
+// the request waited in the owner's queue, if the owner reported it.
+func (d *Detector) End(now time.Duration, endpointID string, id uint64, kind Kind, latency time.Duration) []Transition {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return nil
+	}
+	r, ok := e.takeOpen(id)
+	if !ok {
+		return nil
+	}
+	probe := e.probing && e.probe == id
+	if probe {
+		e.probing, e.probe = false, 0
+	}
+	if kind == Neutral {
+		return nil
+	}
+	bad := d.observe(now, e, r, kind, latency)
+	if probe && e.state == Probation {
+		return d.endProbe(now, e, bad)
+	}
+	return d.judge(nil, now, e)
+}
+
+func (e *endpoint) takeOpen(id uint64) (openRequest, bool) {
+	for i, r := range e.open {
+		if r.id == id {
+			e.open[i] = e.open[len(e.open)-1]
+			e.open = e.open[:len(e.open)-1]
+			return r, true
+		}
+	}
+	return openRequest{}, false
+}
+
+func (d *Detector) endProbe(now time.Duration, e *endpoint, bad bool) []Transition {
+	if bad {
+		return d.move(nil, now, e, triggerEject, ReasonProbe)
+	}
+	e.passes++
+	if e.passes < probesToPass {
+		return nil
+	}
+	return d.move(nil, now, e, triggerPass, ReasonProbes)
+}
+
+// judge compares the evidence against an endpoint with the thresholds.
+func (d *Detector) judge(changes []Transition, now time.Duration, e *endpoint) []Transition {
+	switch e.state {
+	case Healthy, Ramping:
+		if d.relative(now, e) < d.settings.SuspectScore {
+			return changes
+		}
+		changes = d.move(changes, now, e, triggerDoubt, ReasonEvidence)
+		return d.judge(changes, now, e)
+	case Suspect:
+		score := d.relative(now, e)
+		if score >= d.settings.EjectScore && !e.protected {
+			return d.move(changes, now, e, triggerEject, ReasonEvidence)
+		}
+		if score < d.settings.SuspectScore/2 {
+			return d.move(changes, now, e, triggerClear, ReasonCleared)
+		}
+	}
+	return changes
+}
+
+// Tick advances time: it judges requests that are still open, ends hold-off times and ramps. Its cost grows with the
+// number of endpoints that are in use or not healthy.
+func (d *Detector) Tick(now time.Duration) []Transition {
+	var changes []Transition
+	kept := d.active[:0]
+	for _, e := range d.active {
+		if d.byID[e.ID] != e {
+			continue
+		}
+		changes = d.tickOne(changes, now, e)
+		e.active = e.busy()
+		if e.active {
+			kept = append(kept, e)
+		}
+	}
+	clear(d.active[len(kept):])
+	d.active = kept
+	return changes
+}
+
+func (d *Detector) tickOne(changes []Transition, now time.Duration, e *endpoint) []Transition {
+	if e.ramps && d.weight(now, e) >= 1 {
+		e.ramps = false
+	}
+	switch e.state {
+	case Ejected:
+		if now >= e.until {
+			return d.move(changes, now, e, triggerRelease, ReasonHoldOff)
+		}
+		return changes
+	case Probation:
+		if d.openEvidence(now, e).score >= maxSample {
+			e.probing, e.probe = false, 0
+			return d.move(changes, now, e, triggerEject, ReasonProbe)
+		}
+		return changes
+	case Ramping:
+		if !e.ramps {
+			changes = d.move(changes, now, e, triggerRamped, ReasonRamped)
+		}
+	case Healthy:
+		if e.flaps > 0 && now-e.goodSince >= forgiveAfter*d.holdOff(e) {
+			e.flaps--
+			e.goodSince = now
+		}
+	}
+	return d.judge(changes, now, e)
+}
+
+// busy reports whether Tick has to look at the endpoint.
+func (e *endpoint) busy() bool {
+	return e.state != Healthy || len(e.open) > 0 || e.flaps > 0 || e.ramps || e.ownerScore > 0
+}
+
+func (d *Detector) activate(e *endpoint) {
+	if !e.active && e.busy() {
+		e.active = true
+		d.active = append(d.active, e)
+	}
+}
+
+// View returns the state of an endpoint. An unknown endpoint has weight 0.
+func (d *Detector) View(now time.Duration, endpointID string) View {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return View{}
+	}
+	v := View{State: e.state, Score: e.evidence.score, Protected: e.protected, Reason: e.reason}
+	if e.Unavailable || e.state == Ejected || e.state == Probation {
+		return v
+	}
+	v.Weight = d.weight(now, e)
+	v.LastResort = e.state == Suspect
+	return v
+}
+
+func (d *Detector) weight(now time.Duration, e *endpoint) float64 {
+	if !e.ramps {
+		return 1
+	}
+	w := max(minWeight, float64(now-e.rampStart)/float64(d.settings.Ramp))
+	if e.Cold {
+		return min(w, coldWeight)
+	}
+	return min(w, 1)
+}
+
+// ProbeDue reports whether a repeatable request should be sent to the endpoint to test it, and if so counts it as
+// sent: the next Begin on the endpoint is the probe.
+func (d *Detector) ProbeDue(now time.Duration, endpointID string) bool {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return false
+	}
+	return d.takeProbe(now, e)
+}
+
+// NextProbe returns an endpoint for which ProbeDue is true, if there is one.
+func (d *Detector) NextProbe(now time.Duration) (string, bool) {
+	for _, e := range d.active {
+		if d.byID[e.ID] == e && d.takeProbe(now, e) {
+			return e.ID, true
+		}
+	}
+	return "", false
+}
+
+func (d *Detector) takeProbe(now time.Duration, e *endpoint) bool {
+	if e.Unavailable || (e.state != Suspect && e.state != Probation) {
+		return false
+	}
+	// A probe whose Begin never came must not block the next one for ever.
+	stale := e.probe == 0 && now-e.lastProbe >= d.settings.ProbeInterval
+	if e.probing && !stale {
+		return false
+	}
+	if e.lastProbe != 0 && now-e.lastProbe < d.settings.ProbeInterval {
+		return false
+	}
+	e.lastProbe = now
+	e.probing, e.probe = true, 0
+	return true
+}
+
+// Report records the score that the owner of an endpoint computed for its own backend server. The owner sees all
+// requests of the endpoint, of which this place may see few.
+func (d *Detector) Report(now time.Duration, endpointID string, score float64) []Transition {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return nil
+	}
+	e.ownerScore = score
+	e.ownerAt = now
+	d.activate(e)
+	if e.state == Ejected || e.state == Probation {
+		return nil
+	}
+	return d.judge(nil, now, e)
+}
+
+// Score returns the evidence against an endpoint without comparing it with its peers. The owner of a backend server,
+// which sees no peers, publishes it in its load reports.
+func (d *Detector) Score(now time.Duration, endpointID string) float64 {
+	e, ok := d.byID[endpointID]
+	if !ok {
+		return 0
+	}
+	return e.evidence.decayed(now).score + d.openEvidence(now, e).score
+}
+
+// SlowAfter returns the age from which a request of the class should be inquired about at its owner: three times the
+// 99th percentile seen in the zone, or 0 while too little is known.
+func (d *Detector) SlowAfter(zone string, long bool) time.Duration {
+	g, ok := d.groups[zone]
+	if !ok {
+		return 0
+	}
+	return 3 * g.total[class(long)].quantile(0.01)
+}
