--- /dev/null
+++ b/pkg/telemetry/labels.go
@@ -0,0 +1,72 @@
+package telemetry
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// maxLabelSets bounds the number of label sets. It admits 2,700 services with 10 values each; beyond it the value
+// "other" is recorded.
+const maxLabelSets = 32768
+
+const otherLabel = "other"
+
+// labelKey identifies a label set of one or two labels; the second name may be empty.
+type labelKey struct {
+	name1, value1, name2, value2 string
+}
+
+// labels is a label set in the forms that counters and histograms take.
+type labels struct {
+	add    []metric.AddOption
+	record []metric.RecordOption
+}
+
+// labelCache keeps label sets, because building one allocates several times. Reads take no lock.
+type labelCache struct {
+	sets atomic.Pointer[map[labelKey]*labels]
+	mu   sync.Mutex
+}
+
+func (c *labelCache) get(name1, value1, name2, value2 string) *labels {
+	key := labelKey{name1, value1, name2, value2}
+	if sets := c.sets.Load(); sets != nil {
+		if found := (*sets)[key]; found != nil {
+			return found
+		}
+	}
+	return c.insert(key)
+}
+
+func (c *labelCache) insert(key labelKey) *labels {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var current map[labelKey]*labels
+	if sets := c.sets.Load(); sets != nil {
+		current = *sets
+	}
+	if found := current[key]; found != nil {
+		return found
+	}
+	if len(current) >= maxLabelSets {
+		return newLabels(labelKey{key.name1, otherLabel, key.name2, otherLabel})
+	}
+	next := make(map[labelKey]*labels, len(current)+1)
+	maps.Copy(next, current)
+	next[key] = newLabels(key)
+	c.sets.Store(&next)
+	return next[key]
+}
+
+func newLabels(key labelKey) *labels {
+	attributes := []attribute.KeyValue{attribute.String(key.name1, key.value1)}
+	if key.name2 != "" {
+		attributes = append(attributes, attribute.String(key.name2, key.value2))
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attributes...))
+	return &labels{add: []metric.AddOption{option}, record: []metric.RecordOption{option}}
+}
