--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -28,7 +28,7 @@
 // Suspects tells where a request that is suspected of crashing backend servers may run.
 type Suspects interface {
 	// Only returns the single endpoint on which the request may run. It returns false if the request is not suspect.
-	Only(service, fingerprint string, endpoints []string) (endpoint string, suspect bool)
+	Only(service, fingerprint string, endpoints func() []string) (endpoint string, suspect bool)
 }
 
 // Options are the parts that an ingress works with. Inquirer, Suspects and Metrics may be nil.
--- /dev/null
+++ b/pkg/ingress/send.go
@@ -0,0 +1,204 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/owner"
+	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const (
+	stepSend    = "send"
+	stepInquire = "inquire"
+	// inquireTimeout bounds how long a lost connection delays the report of an unknown outcome.
+	inquireTimeout = 500 * time.Millisecond
+	// answerGrace is the time that an answer may need from the owner to the ingress after the owner has reported it.
+	answerGrace = 100 * time.Millisecond
+)
+
+var (
+	errVoided = errors.New("the owner has not run the request and will not run it")
+	errSilent = errors.New("the answer was lost on a silent connection")
+)
+
+// send makes one attempt: directly if this node owns the endpoint, over the inner hop otherwise.
+func (i *Ingress) send(ctx context.Context, v *view, r *request, p *pick) (*transport.Response, *outcome.Error) {
+	meta := hop.Meta{
+		RequestID:   r.id,
+		Attempt:     i.attempts.get(),
+		Service:     r.service.Name,
+		Endpoint:    p.entry.id,
+		Route:       r.route.ID,
+		Key:         r.key,
+		Fingerprint: r.fingerprint,
+		Repeatable:  r.route.Repeatable,
+		Long:        r.long,
+		Remaining:   time.Until(r.deadline),
+	}
+	request := &transport.Request{Head: relay.CopyRequest(r.head)}
+	r.body.Attach(request)
+	if p.entry.host.ID == i.options.Host {
+		request.Head.Header.Set(outcome.HeaderRequestID, r.id)
+		response, failure := i.options.Owner.Do(ctx, &owner.Request{Meta: meta, Transport: request})
+		if load, ok := i.options.Owner.Load(meta.Endpoint); ok {
+			v.observeLoad(meta.Endpoint, load)
+		}
+		return response, failure
+	}
+	meta.Write(&request.Head.Header)
+	return i.sendHop(ctx, v, r, p, &meta, request)
+}
+
+func (i *Ingress) sendHop(ctx context.Context, v *view, r *request, p *pick, meta *hop.Meta, request *transport.Request) (*transport.Response, *outcome.Error) {
+	pool := i.pools.get(p.entry.host.HopAddress())
+	pending, err := pool.Send(ctx, request)
+	if err != nil {
+		return nil, i.lost(ctx, p, meta, err)
+	}
+	inquiry := i.inquireLater(ctx, v.slowAfter(r, p), p, meta, pending)
+	response, err := pending.Await()
+	inquiry.stop()
+	if err != nil {
+		return nil, i.lost(ctx, p, meta, err)
+	}
+	return i.interpret(v, p, meta, response)
+}
+
+// interpret tells an answer of the backend server from a refusal of the owner.
+func (i *Ingress) interpret(v *view, p *pick, meta *hop.Meta, response *transport.Response) (*transport.Response, *outcome.Error) {
+	header := &response.Head.Header
+	peer := p.entry.host.ID
+	if header.Get(outcome.HeaderHopAttempt) != meta.Attempt {
+		i.options.Metrics.MismatchedAnswer()
+		response.Abort(errors.New("the answer belongs to another request"))
+		response.Close()
+		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonAnswerMismatch, stepSend, peer, nil)
+	}
+	if load, ok := hop.ParseLoad(header.Get(outcome.HeaderHopLoad)); ok {
+		v.observeLoad(p.entry.id, load)
+	}
+	told := outcome.Outcome(header.Get(outcome.HeaderOutcome))
+	if told == outcome.Answered {
+		return response, nil
+	}
+	failure := &outcome.Error{
+		Outcome: told,
+		Reason:  outcome.Reason(header.Get(outcome.HeaderReason)),
+		Status:  response.Head.StatusCode(),
+		Step:    stepSend,
+		Peer:    peer,
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Close()
+	if told != outcome.NotRun && told != outcome.Duplicate {
+		failure.Outcome = outcome.Unknown
+	}
+	return nil, failure
+}
+
+// lost classifies an attempt that ended without an answer of the owner. If the request may have reached the owner,
+// the owner is asked once more over the peer connection.
+func (i *Ingress) lost(ctx context.Context, p *pick, meta *hop.Meta, err error) *outcome.Error {
+	peer := p.entry.host.ID
+	var exchange *transport.Error
+	sent := errors.As(err, &exchange) && exchange.Sent
+	switch {
+	case !sent && ctx.Err() != nil:
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonCancelled, stepSend, peer, err)
+	case !sent:
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnect, stepSend, peer, err)
+	case errors.Is(err, errVoided):
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonSilent, stepInquire, peer, err)
+	case errors.Is(err, errSilent):
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSilent, stepInquire, peer, err)
+	case errors.Is(err, transport.ErrBodySource):
+		return outcome.Lose(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, peer, err)
+	case transport.IsTimeout(err):
+		return outcome.Lose(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepSend, peer, err)
+	case ctx.Err() != nil:
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonCancelled, stepSend, peer, err)
+	}
+	if state, known := i.inquire(ctx, p, meta); known && state == owner.AttemptNotRun {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnectionLost, stepInquire, peer, err)
+	}
+	return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, peer, err)
+}
+
+func (i *Ingress) inquire(ctx context.Context, p *pick, meta *hop.Meta) (owner.AttemptState, bool) {
+	if i.options.Inquirer == nil {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
+	defer cancel()
+	state, err := i.options.Inquirer.Inquire(ctx, p.entry.host, meta.Attempt)
+	return state, err == nil
+}
+
+// inquiry asks the owner about an attempt that stays without an answer, again and again at growing distances.
+type inquiry struct {
+	done chan struct{}
+}
+
+func (q *inquiry) stop() {
+	close(q.done)
+}
+
+func (i *Ingress) inquireLater(ctx context.Context, delay time.Duration, p *pick, meta *hop.Meta, pending *transport.Pending) *inquiry {
+	q := &inquiry{done: make(chan struct{})}
+	if i.options.Inquirer != nil {
+		time.AfterFunc(delay, func() { i.runInquiry(ctx, delay, p, meta, pending, q) })
+	}
+	return q
+}
+
+func (i *Ingress) runInquiry(ctx context.Context, delay time.Duration, p *pick, meta *hop.Meta, pending *transport.Pending, q *inquiry) {
+	answered := false
+	for !q.stopped() {
+		received := pending.Received()
+		state, known := i.inquire(ctx, p, meta)
+		wait := delay
+		switch {
+		case known && state == owner.AttemptNotRun:
+			pending.Abort(errVoided)
+			return
+		case known && state == owner.AttemptAnswered && answered:
+			pending.Abort(errSilent)
+			return
+		case known && state == owner.AttemptAnswered:
+			answered = true
+			wait = answerGrace
+		default:
+			delay *= 2
+		}
+		if !q.sleep(wait) || pending.Received() != received {
+			return
+		}
+	}
+}
+
+func (q *inquiry) stopped() bool {
+	select {
+	case <-q.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (q *inquiry) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-q.done:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
