Run a node end to end with the embedded configuration

The node assembles telemetry, store, peers, owner, ingress and three servers in the kernel and drains at SIGTERM: it refuses as owner at once, keeps serving as ingress for the notice period, and closes only connections without a request.

Ruled out: hertz's NoRoute handler for all requests, since it adds a default body to an empty 404 of a backend server.

--- /dev/null
+++ b/pkg/node/drain.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/qmuntal/stateless"
+)
+
+// State is a state of the node's life cycle.
+type State string
+
+// States of the life cycle.
+const (
+	StateStarting State = "starting"
+	StateJoining  State = "joining"
+	StateServing  State = "serving"
+	StateDraining State = "draining"
+	StateStopped  State = "stopped"
+)
+
+// Triggers of the life cycle.
+const (
+	triggerStarted = "started"
+	triggerJoined  = "joined"
+	triggerStop    = "stop"
+	triggerDrained = "drained"
+)
+
+func newLifeCycle() *stateless.StateMachine {
+	m := stateless.NewStateMachine(StateStarting)
+	m.Configure(StateStarting).Permit(triggerStarted, StateJoining)
+	m.Configure(StateJoining).
+		Permit(triggerJoined, StateServing).
+		Permit(triggerStop, StateDraining)
+	m.Configure(StateServing).
+		Permit(triggerStop, StateDraining).
+		Ignore(triggerJoined)
+	m.Configure(StateDraining).
+		Permit(triggerDrained, StateStopped).
+		Ignore(triggerJoined).
+		Ignore(triggerStop)
+	return m
+}
+
+// State returns the state of the node's life cycle.
+func (n *Node) State() State {
+	return n.life.MustState().(State)
+}
+
+func (n *Node) fire(trigger string) {
+	before := n.State()
+	if err := n.life.Fire(trigger); err != nil {
+		n.logger.Error("life cycle", "trigger", trigger, "state", string(before), "error", err)
+		return
+	}
+	if after := n.State(); after != before {
+		n.logger.Info("node state", "from", string(before), "to", string(after))
+	}
+}
+
+const (
+	drainPollPeriod = 20 * time.Millisecond
+	// drainQuiet is how long no request must be in flight before the listeners close.
+	drainQuiet = 200 * time.Millisecond
+	// stopTimeout bounds the release of resources after the last request.
+	stopTimeout = 5 * time.Second
+)
+
+// stop ends the node without cutting requests. As owner it refuses new work at once; as ingress it serves callers that
+// keep arriving through other hosts, and tells them to close their connections.
+func (n *Node) stop() error {
+	n.fire(triggerStop)
+	n.owner.Leave()
+	n.announceLeaving()
+	n.ingress.Close()
+	drainErr := n.awaitQuiet()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := n.kernel.Stop(ctx)
+	n.fire(triggerDrained)
+	return errors.Join(drainErr, err)
+}
+
+// errDrainTimeout is returned when requests were still in flight at the end of the drain timeout.
+var errDrainTimeout = errors.New("requests were still in flight at the end of the drain timeout")
+
+// awaitQuiet waits until the notice period has passed and no request has been in flight for a short while.
+func (n *Node) awaitQuiet() error {
+	start := time.Now()
+	quietSince := start
+	ticker := time.NewTicker(drainPollPeriod)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if n.inFlight() > 0 {
+			quietSince = now
+		}
+		if now.Sub(start) >= n.settings.DrainTimeout {
+			n.logger.Error("drain timeout", "in_flight", n.inFlight())
+			return errDrainTimeout
+		}
+		if now.Sub(start) >= n.settings.DrainNotice && now.Sub(quietSince) >= drainQuiet {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (n *Node) inFlight() int {
+	return n.ingress.InFlight() + n.owner.InFlight()
+}
+
+// announceLeaving tells the other nodes that this host is leaving.
+func (n *Node) announceLeaving() {
+	n.hosts.ObserveHost(n.settings.HostID, n.incarnation, leavingSequence, true)
+}
+
+// leavingSequence orders the host's report of leaving after the one of serving within an incarnation.
+const (
+	servingSequence = 1
+	leavingSequence = 2
+)
--- /dev/null
+++ b/pkg/node/status.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/config"
+)
+
+// summary is what the peer exchange says about the configuration in force.
+type summary struct {
+	Version config.Version `json:"version"`
+	Digest  string         `json:"digest"`
+}
+
+func (n *Node) summary() any {
+	snapshot := n.store.Current()
+	if snapshot == nil {
+		return summary{}
+	}
+	return summary{Version: snapshot.Version(), Digest: snapshot.Digest()}
+}
+
+func (n *Node) observeSummary(address string, raw json.RawMessage) {
+	var s summary
+	if err := json.Unmarshal(raw, &s); err != nil {
+		n.logger.Warn("peer summary", "peer", address, "error", err)
+		return
+	}
+	if id, ok := n.hosts.IDByPeerAddress(address); ok {
+		n.hosts.ObserveConfiguration(id, s.Version, s.Digest)
+	}
+	n.owner.Resume()
+}
+
+// Readiness implements admin.ReadinessSource.
+func (n *Node) Readiness() admin.Readiness {
+	if state := n.State(); state != StateServing {
+		return admin.Readiness{Reason: string(state)}
+	}
+	return admin.Readiness{Ready: true}
+}
+
+// Status implements admin.StatusSource.
+func (n *Node) Status() admin.Status {
+	status := admin.Status{
+		Node: admin.NodeStatus{
+			Host: n.settings.HostID, Zone: n.settings.Zone, Region: n.settings.Region, Incarnation: n.incarnation,
+			State: string(n.State()), StartedAt: n.started, InFlight: n.inFlight(),
+		},
+		Services: n.ingress.Status(),
+	}
+	snapshot := n.store.Current()
+	if snapshot == nil {
+		return status
+	}
+	status.Configuration = n.configurationStatus(snapshot)
+	status.Hosts, status.Leaving = n.hostStatus(snapshot)
+	status.Owned = n.ownedStatus(snapshot)
+	return status
+}
+
+func (n *Node) configurationStatus(snapshot *config.Snapshot) admin.ConfigurationStatus {
+	status := admin.ConfigurationStatus{Version: snapshot.Version(), Digest: snapshot.Digest(), ReadAgeSeconds: -1}
+	for _, alarm := range n.store.Alarms() {
+		status.Alarms = append(status.Alarms, admin.Alarm{
+			Name: "configuration-conflict",
+			Text: "version " + versionText(alarm.Version) + " in force " + alarm.InForce + ", rejected " + alarm.Rejected + " from " + string(alarm.Source),
+		})
+	}
+	return status
+}
+
+func (n *Node) hostStatus(snapshot *config.Snapshot) ([]admin.HostStatus, []admin.LeavingStatus) {
+	var hosts []admin.HostStatus
+	var leaving []admin.LeavingStatus
+	for _, host := range snapshot.Document().Hosts {
+		state, since := n.hosts.State(host.ID)
+		h := admin.HostStatus{Host: host.ID, Zone: host.Zone, Address: host.IngressAddress(), HeardSeconds: -1, Leaving: state.Leaving}
+		if seen, ok := n.hosts.Seen(host.ID); ok {
+			h.Incarnation, h.Version, h.Digest = seen.Incarnation, &seen.Version, seen.Digest
+			h.HeardSeconds = time.Since(seen.At).Seconds()
+		}
+		hosts = append(hosts, h)
+		if state.Leaving {
+			leaving = append(leaving, admin.LeavingStatus{Host: host.ID, Source: state.Source.String(), Since: since})
+		}
+	}
+	return hosts, leaving
+}
+
+func (n *Node) ownedStatus(snapshot *config.Snapshot) []admin.OwnedStatus {
+	var owned []admin.OwnedStatus
+	addresses := backends(n.settings)
+	for id, load := range n.owner.Loads() {
+		ref, _ := snapshot.Endpoint(id)
+		status := admin.OwnedStatus{
+			ID: id, Address: addresses[id], State: string(load.State), Busy: load.Busy, Queued: load.Queued, Slots: load.Slots,
+		}
+		if ref.Service != nil {
+			status.Service = ref.Service.Name
+		}
+		owned = append(owned, status)
+	}
+	sort.Slice(owned, func(a, b int) bool { return owned[a].ID < owned[b].ID })
+	return owned
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -96,7 +96,6 @@
 func CopyResponseHead(dst *protocol.Response, src *protocol.Response) {
 	dst.SetStatusCode(src.StatusCode())
 	dst.Header.SetNoDefaultContentType(true)
-	dst.Header.SetNoDefaultDate(len(src.Header.Peek("Date")) > 0)
 	src.Header.VisitAll(func(key, value []byte) {
 		if keepField(string(key)) {
 			dst.Header.Add(string(key), string(value))
