Add the open-loop load generator

A closed loop slows down with the servers and hides their stalls, so requests start at a constant rate and latencies count from the intended start, also when the bound on requests in flight delays them. Each response is checked against its request; each sending has its own token, so that a request reported as not run can be shown not to have run, while a resent one keeps its key.

net/http sends keyed requests and GETs again by itself when a reused connection breaks. This is allowed for both, and an ordinary caller does it too, so it is left on.

--- /dev/null
+++ b/pkg/load/run.go
@@ -0,0 +1,283 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"agatepulley.example/agatepulley/pkg/load/pattern"
+	"agatepulley.example/agatepulley/pkg/outcome"
+)
+
+// HeaderToken identifies one sending of a request. Two sendings with the same key have different tokens.
+const HeaderToken = "X-Request-Token"
+
+const (
+	firstErrorStatus = 400
+	dialTimeout      = 2 * time.Second
+	idleTimeout      = 10 * time.Second
+	// maxDrained bounds how much of an unchecked response body is read.
+	maxDrained = 1 << 30
+)
+
+// Run carries out a plan and returns the report. Observe, if not nil, is called with each result, from several
+// goroutines. When ctx ends, no further requests are started and those in flight are cancelled.
+func Run(ctx context.Context, plan Plan, observe func(Result)) (*Report, error) {
+	if err := plan.Validate(); err != nil {
+		return nil, fmt.Errorf("load plan: %w", err)
+	}
+	plan = plan.withDefaults()
+	if plan.IDPrefix == "" {
+		plan.IDPrefix = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	g := newGenerator(&plan, observe)
+	defer g.transport.CloseIdleConnections()
+	notSent := g.generate(ctx)
+	g.requests.Wait()
+	return g.collector.report(time.Since(g.begin), notSent), nil
+}
+
+type generator struct {
+	plan      *Plan
+	observe   func(Result)
+	collector *collector
+	transport *http.Transport
+	client    *http.Client
+	random    *rand.Rand
+	weights   int
+	begin     time.Time
+	slots     chan struct{}
+	requests  sync.WaitGroup
+}
+
+// shot is one logical request: a kind, its number and the intended start.
+type shot struct {
+	kind   int
+	number int
+	start  time.Duration
+	target int
+	resend bool
+}
+
+func newGenerator(plan *Plan, observe func(Result)) *generator {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: plan.MaxInFlight,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	g := &generator{
+		plan:      plan,
+		observe:   observe,
+		collector: newCollector(plan.Mix),
+		transport: transport,
+		client:    &http.Client{Transport: transport, Timeout: plan.Timeout, CheckRedirect: keepRedirect},
+		random:    rand.New(rand.NewPCG(plan.Seed, plan.Seed)),
+		slots:     make(chan struct{}, plan.MaxInFlight),
+	}
+	for i := range plan.Mix {
+		g.weights += plan.Mix[i].Weight
+	}
+	return g
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// generate starts the requests and returns the number of planned ones that were not started.
+func (g *generator) generate(ctx context.Context) int {
+	g.begin = time.Now()
+	planned := int(g.plan.Rate * g.plan.Duration.Seconds())
+	if g.plan.Count > 0 {
+		planned = min(planned, g.plan.Count)
+	}
+	end := time.NewTimer(g.plan.Duration)
+	defer end.Stop()
+	for number := range planned {
+		s := g.choose(number)
+		if !g.waitForStart(ctx, s.start, end.C) {
+			return planned - number
+		}
+		g.requests.Go(func() {
+			defer func() { <-g.slots }()
+			g.fire(ctx, s)
+		})
+	}
+	return 0
+}
+
+func (g *generator) choose(number int) shot {
+	s := shot{
+		number: number,
+		start:  time.Duration(float64(number) / g.plan.Rate * float64(time.Second)),
+		target: number % len(g.plan.Targets),
+	}
+	pick := g.random.IntN(g.weights)
+	for pick >= g.plan.Mix[s.kind].Weight {
+		pick -= g.plan.Mix[s.kind].Weight
+		s.kind++
+	}
+	s.resend = g.random.IntN(100) < g.plan.Mix[s.kind].ResendPercent
+	return s
+}
+
+// waitForStart waits for the intended start and for a free slot. It returns false at the end of the run.
+func (g *generator) waitForStart(ctx context.Context, start time.Duration, end <-chan time.Time) bool {
+	if wait := start - time.Since(g.begin); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	select {
+	case g.slots <- struct{}{}:
+		return true
+	case <-end:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fire sends a request and, if it is to be resent, sends it again through the next target.
+func (g *generator) fire(ctx context.Context, s shot) {
+	result := g.send(ctx, s, false)
+	g.finish(s, &result)
+	if !s.resend {
+		return
+	}
+	s.target = (s.target + 1) % len(g.plan.Targets)
+	s.start = time.Since(g.begin)
+	again := g.send(ctx, s, true)
+	g.finish(s, &again)
+}
+
+func (g *generator) finish(s shot, result *Result) {
+	g.collector.add(s.kind, result)
+	if g.observe != nil {
+		g.observe(*result)
+	}
+}
+
+func (g *generator) send(ctx context.Context, s shot, again bool) Result {
+	kind := &g.plan.Mix[s.kind]
+	result := Result{Kind: kind, Target: g.plan.Targets[s.target], Resent: again, Start: s.start}
+	id := fmt.Sprintf("%s-%d", g.plan.IDPrefix, s.number)
+	if kind.Keyed {
+		result.Key = "key-" + id
+	}
+	result.Token = "token-" + id
+	if again {
+		result.Token += "-again"
+	}
+	body := requestBody(kind, id)
+	request, err := newRequest(ctx, kind, &result, id, body)
+	if err != nil {
+		result.Category, result.Err = NotRun, err
+		return result
+	}
+	g.exchange(request, &result, id, body)
+	result.Latency = time.Since(g.begin) - s.start
+	return result
+}
+
+func requestBody(kind *Kind, id string) []byte {
+	if kind.BodyBytes == 0 {
+		return nil
+	}
+	text := []byte(id + " ")
+	return bytes.Repeat(text, kind.BodyBytes/len(text)+1)[:kind.BodyBytes]
+}
+
+func newRequest(ctx context.Context, kind *Kind, result *Result, id string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+result.Target+kind.URI, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("create request: %w", err)
+	}
+	for name, values := range kind.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderToken, result.Token)
+	request.Header.Set(pattern.HeaderCheck, id)
+	if kind.Keyed {
+		request.Header.Set(outcome.HeaderKey, result.Key)
+	}
+	if kind.DeadlineMS > 0 {
+		request.Header.Set(outcome.HeaderDeadline, strconv.Itoa(kind.DeadlineMS))
+	}
+	return request, nil
+}
+
+func (g *generator) exchange(request *http.Request, result *Result, id string, body []byte) {
+	response, err := g.client.Do(request)
+	if err != nil {
+		result.Err = err
+		result.Category = Unknown
+		if nothingSent(err) {
+			result.Category = Unreachable
+		}
+		return
+	}
+	defer response.Body.Close()
+	result.Status = response.StatusCode
+	result.Backend = response.Header.Get("X-Backend-Id")
+	result.Reason = response.Header.Get(outcome.HeaderReason)
+	switch outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)) {
+	case outcome.NotRun:
+		result.Category = NotRun
+	case outcome.Unknown:
+		result.Category = Unknown
+	case outcome.Duplicate:
+		result.Category = Duplicate
+	default:
+		g.verify(response, result, id, body)
+		return
+	}
+	// The body explains the outcome in words, which the headers have said already.
+	_, result.Err = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrained))
+}
+
+// verify reads the response of a backend server and tells whether it is complete and the one to this request.
+func (g *generator) verify(response *http.Response, result *Result, id string, body []byte) {
+	kind := result.Kind
+	result.Category = Answered
+	if !kind.Check || response.StatusCode >= firstErrorStatus {
+		result.Bytes, result.Err = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrained))
+		if result.Err != nil {
+			result.Category = lostBody(result.Err)
+		}
+		return
+	}
+	if echoed := response.Header.Get(pattern.HeaderCheck); echoed != id {
+		result.Category = Wrong
+		result.Err = fmt.Errorf("header %s: got %q, want %q", pattern.HeaderCheck, echoed, id)
+		return
+	}
+	seed := pattern.Seed(kind.Method, kind.URI, id, body)
+	result.Bytes, result.Err = pattern.Verify(response.Body, seed, kind.expectedBytes())
+	switch {
+	case errors.Is(result.Err, pattern.ErrShort), errors.Is(result.Err, pattern.ErrWrong):
+		result.Category = Wrong
+	case result.Err != nil:
+		result.Category = lostBody(result.Err)
+	}
+}
+
+// lostBody tells a response that was cut off from one that the generator itself stopped reading.
+func lostBody(err error) Category {
+	var timeout net.Error
+	if errors.Is(err, context.Canceled) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return Unknown
+	}
+	return Cut
+}
