Add agatectl with validate, status, explain and load

Operators need to check a document before they publish it, to see which configuration is in force on which host and why an endpoint is out of rotation, and to put a bounded load on a fleet.

--- a/cmd/agatectl/main.go
+++ b/cmd/agatectl/main.go
@@ -1,6 +1,21 @@
 // Command agatectl is the operators' tool.
 package main
 
-import _ "net"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {}
+	"agatepulley.example/agatepulley/pkg/ctl"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
