--- /dev/null
+++ b/pkg/transport/pool_test.go
@@ -0,0 +1,172 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// server answers the n-th connection with the n-th script and reports how many connections it accepted.
+type server struct {
+	listener net.Listener
+	accepted chan struct{}
+}
+
+func serve(t *testing.T, scripts ...func(net.Conn, *bufio.Reader)) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: listener, accepted: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, script := range scripts {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted <- struct{}{}
+			go func() {
+				defer conn.Close()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return s
+}
+
+// answer reads one request and writes a raw response.
+func answer(response string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, response)
+		}
+	}
+}
+
+func answerOnce(response string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, response)
+	}
+}
+
+func silent(_ net.Conn, r *bufio.Reader) {
+	_, _ = io.Copy(io.Discard, r)
+}
+
+func newPool(s *server) (*transport.Pool, *transport.Stats) {
+	stats := &transport.Stats{}
+	options := transport.Options{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4}
+	return transport.NewPool(s.listener.Addr().String(), options, stats), stats
+}
+
+func get() *transport.Request {
+	head := &protocol.Request{}
+	head.Header.SetMethod("GET")
+	head.Header.SetRequestURI("/")
+	head.Header.SetHost("test")
+	return &transport.Request{Head: head}
+}
+
+func exchange(ctx context.Context, pool *transport.Pool) (string, error) {
+	pending, err := pool.Send(ctx, get())
+	if err != nil {
+		return "", err
+	}
+	response, err := pending.Await()
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+
+// Guards against a new connection for each request, which costs about 1 ms.
+func TestConnectionIsReusedAfterWholeAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool, stats := newPool(serve(t, answer(wholeAnswer)))
+	for range 3 {
+		text, err := exchange(context.Background(), pool)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(text).To(gomega.Equal("abc"))
+	}
+	g.Expect(stats.Dialed.Load()).To(gomega.Equal(uint64(1)))
+}
+
+// Guards against a late answer of a timed-out request being taken for the answer to the next one.
+func TestConnectionIsNotReusedAfterTimeout(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool, stats := newPool(serve(t, silent, answer(wholeAnswer)))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := exchange(ctx, pool)
+	g.Expect(transport.IsTimeout(err)).To(gomega.BeTrue())
+	var exchangeErr *transport.Error
+	g.Expect(errors.As(err, &exchangeErr)).To(gomega.BeTrue())
+	g.Expect(exchangeErr.Sent).To(gomega.BeTrue())
+	text, err := exchange(context.Background(), pool)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(text).To(gomega.Equal("abc"))
+	g.Expect(stats.Dialed.Load()).To(gomega.Equal(uint64(2)))
+}
+
+// Guards against bytes behind an answer being read as the answer to the next request.
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	extra := wholeAnswer + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	pool, stats := newPool(serve(t, answer(extra), answer(wholeAnswer)))
+	for range 2 {
+		text, err := exchange(context.Background(), pool)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(text).To(gomega.Equal("abc"))
+	}
+	g.Expect(stats.Dialed.Load()).To(gomega.Equal(uint64(2)))
+}
+
+// Guards against a body that was cut off being taken for a whole one, with both kinds of framing.
+func TestCutOffBodyIsAnError(t *testing.T) {
+	for name, response := range map[string]string{
+		"content length": "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nabc",
+		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"within a chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			pool, _ := newPool(serve(t, answerOnce(response)))
+			_, err := exchange(context.Background(), pool)
+			g.Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
+
+// Guards against "not run" for a request whose bytes left, and against "unknown" for one that never left.
+func TestErrorTellsWhetherTheRequestWasSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, answerOnce(""))
+	pool, _ := newPool(s)
+	_, err := exchange(context.Background(), pool)
+	var lost *transport.Error
+	g.Expect(errors.As(err, &lost)).To(gomega.BeTrue())
+	g.Expect(lost.Sent).To(gomega.BeTrue())
+	_ = s.listener.Close()
+	_, err = exchange(context.Background(), pool)
+	g.Expect(errors.As(err, &lost)).To(gomega.BeTrue())
+	g.Expect(lost.Sent).To(gomega.BeFalse())
+}
