Let the load generator send requests again that were not run

A caller whose node leaves connects to another one, and a request that was not run may be sent again whatever it is. Each sending has its own token, so that a run behind a not-run answer shows. The number of connections tells when net/http itself sent a request again.

--- a/pkg/ctl/document.go
+++ b/pkg/ctl/document.go
@@ -7,8 +7,8 @@
 	"agatepulley.example/agatepulley/pkg/config"
 )
 
-const validateHelp = `Checks a configuration document with the same rules as the operator library and the nodes. All errors are
-listed, each with the path of the field, the reason and the valid values. "-" reads standard input.`
+const validateHelp = `Checks a configuration document with the same rules as the operator library and the nodes. All ` +
+	`errors are listed, each with the path of the field, the reason and the valid values. "-" reads standard input.`
 
 type validateCommand struct {
 	env        *environment
--- a/pkg/ctl/load.go
+++ b/pkg/ctl/load.go
@@ -8,17 +8,16 @@
 	"agatepulley.example/agatepulley/pkg/load"
 )
 
-const loadHelp = `Sends requests at a constant rate, whether or not earlier ones have ended, and reports the outcomes and the
-latencies from the intended start of each request. Targets must be loopback addresses unless --allow-remote is given.
+const loadHelp = `Sends requests at a constant rate, whether or not earlier ones have ended, and reports the outcomes and ` +
+	`the latencies from the intended start of each request. Targets must be loopback addresses unless --allow-remote ` +
+	`is given. The command fails if a response was wrong.
 
-A request is given as "WEIGHT METHOD URI [OPTION...]" with the options keyed (send an idempotency key), resend=PERCENT
-(send again with the same key through the next target), repeatable, body=BYTES, deadline=MS, name=TEXT, and check
-(compare the response with that of the backend server stand-in; the URI must name bytes=N). Example:
+A request is given as "WEIGHT METHOD URI [OPTION...]" with the options keyed (send an idempotency key), ` +
+	`resend=PERCENT (send again with the same key through the next target), repeatable, body=BYTES, deadline=MS, ` +
+	`name=TEXT, and check (compare the response with that of the backend server stand-in; the URI must name bytes=N).
 
-  agatectl load --target 127.0.0.1:7000 --rate 200 --duration 10s \
-    --request "9 GET /status?bytes=500 check" --request "1 POST /charges?bytes=100 keyed resend=10 check"
-
-The command fails if a response was wrong.`
+Example: agatectl load --target 127.0.0.1:7000 --rate 200 --request "9 GET /status?bytes=500 check" ` +
+	`--request "1 POST /charges?bytes=100 keyed resend=10 check"`
 
 var errWrongResponses = errors.New("wrong responses")
 
@@ -30,6 +29,7 @@
 	Duration    time.Duration `long:"duration" description:"length of the run" default:"10s"`
 	Count       int           `long:"count" description:"largest number of requests; 0 means no limit"`
 	Timeout     time.Duration `long:"timeout" description:"time limit of each request" default:"10s"`
+	Retries     int           `long:"retries" description:"further sendings of a request that was not run or whose target was unreachable" default:"0"`
 	MaxInFlight int           `long:"max-in-flight" description:"largest number of requests in flight" default:"4096"`
 	Seed        uint64        `long:"seed" description:"seed of the sequence of requests" default:"1"`
 	AllowRemote bool          `long:"allow-remote" description:"permit targets that are not loopback addresses"`
@@ -70,6 +70,7 @@
 		Duration:    c.Duration,
 		Count:       c.Count,
 		Timeout:     c.Timeout,
+		Retries:     c.Retries,
 		MaxInFlight: c.MaxInFlight,
 		Seed:        c.Seed,
 		AllowRemote: c.AllowRemote,
--- a/pkg/ctl/node.go
+++ b/pkg/ctl/node.go
@@ -21,13 +21,13 @@
 	maxResponse = 256 << 20
 )
 
-const statusHelp = `Shows the configuration in force on a node, the open alarms, the configuration version on each host that the
-node knows, the endpoints in the node's view with their states and the reasons, the endpoints that it owns, and the
-leaving hosts.`
+const statusHelp = `Shows the configuration in force on a node, the open alarms, the configuration version on each host ` +
+	`that the node knows, the endpoints in the node's view with their states and the reasons, the endpoints that it ` +
+	`owns, and the leaving hosts.`
 
-const explainHelp = `Shows the decisions that a node recorded for a request: candidates, choice, outcome and the rule that
-decided. A node keeps the decisions of its latest 8192 requests. The request id is in the response header
-Agatepulley-Request-Id.`
+const explainHelp = `Shows the decisions that a node recorded for a request: candidates, choice, outcome and the rule ` +
+	`that decided. A node keeps the decisions of its latest 8192 requests. The request id is in the response header ` +
+	`Agatepulley-Request-Id.`
 
 type statusCommand struct {
 	env        *environment
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// Guards against a caller that gives up although nothing ran, and against retries that share a token with a sending that
+// was not run.
+func TestRetryAfterNotRunAndUnreachable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	refusing := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(outcome.HeaderOutcome, string(outcome.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	targets := []string{closed.Listener.Addr().String(), refusing, serve(t, answer)}
+	var mu sync.Mutex
+	tokens := make(map[string]int)
+	kind := load.Kind{Name: "x", Weight: 1, Method: "GET", URI: "/?bytes=5", Check: true}
+	report := run(t, load.Plan{Targets: targets, Rate: 1000, Duration: time.Minute, Count: 9, Retries: 2, Mix: []load.Kind{kind}},
+		func(r load.Result) {
+			mu.Lock()
+			defer mu.Unlock()
+			tokens[r.Token]++
+		})
+	g.Expect(report.Total.Counts).To(gomega.Equal(load.Counts{Sent: 9, Answered: 9}))
+	g.Expect(report.Retried).To(gomega.Equal(3 + 6))
+	g.Expect(tokens).To(gomega.HaveLen(18))
+}
+
 // Guards against a run that does not end when its caller gives up, or that forgets the planned requests it did not send.
 func TestCancelEndsTheRun(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/pkg/load/plan.go
+++ b/pkg/load/plan.go
@@ -61,6 +61,9 @@
 	Mix      []Kind        `json:"mix"`
 	// Timeout bounds each request.
 	Timeout time.Duration `json:"timeout"`
+	// Retries is how often a request that was not run, or whose target could not be reached, is sent again through the
+	// next target. A caller may do so for any request, because nothing ran.
+	Retries int `json:"retries,omitempty"`
 	// MaxInFlight bounds the requests in flight. At the bound, starts are delayed; the delay counts as latency.
 	MaxInFlight int `json:"max_in_flight"`
 	// Seed makes the sequence of kinds reproducible.
@@ -146,6 +149,7 @@
 	note(p.Count >= 0 && p.Count <= MaxCount, "count %d: want 0 to %d", p.Count, MaxCount)
 	note(p.Timeout >= 0, "timeout %v: want 0 or more", p.Timeout)
 	note(p.MaxInFlight >= 0, "requests in flight %d: want 0 or more", p.MaxInFlight)
+	note(p.Retries >= 0, "retries %d: want 0 or more", p.Retries)
 	note(len(p.Mix) > 0, "requests: want at least one kind")
 	for _, target := range p.Targets {
 		errs = append(errs, checkTarget(target, p.AllowRemote))
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"strconv"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -34,16 +33,22 @@
 
 // Result is the end of one request.
 type Result struct {
-	Kind     *Kind
-	Key      string
-	Token    string
-	Target   string
-	Resent   bool
+	Kind   *Kind
+	Key    string
+	Token  string
+	Target string
+	// Resent says that the request was sent again with the same key on purpose, to provoke a duplicate.
+	Resent bool
+	// Final is false if the request is sent again because it was not run or the target could not be reached.
+	Final    bool
 	Category Category
-	Status   int
-	Reason   string
-	Backend  string
-	Bytes    int64
+	// Connections is the number of connections that net/http tried; it sends some requests again by itself when a
+	// reused connection breaks.
+	Connections int
+	Status      int
+	Reason      string
+	Backend     string
+	Bytes       int64
 	// Start is the time from the start of the run to the intended start of the request.
 	Start   time.Duration
 	Latency time.Duration
@@ -86,7 +91,9 @@
 	Seconds float64 `json:"seconds"`
 	// NotSent is the number of planned requests that were not started before the end of the run, because the bound on
 	// requests in flight was reached.
-	NotSent int            `json:"not_sent"`
+	NotSent int `json:"not_sent"`
+	// Retried is the number of further sendings of requests that were not run.
+	Retried int            `json:"retried"`
 	Total   KindReport     `json:"total"`
 	Kinds   []KindReport   `json:"kinds"`
 	Reasons map[string]int `json:"reasons"`
@@ -103,6 +110,7 @@
 	mu      sync.Mutex
 	kinds   []*tally
 	total   *tally
+	retried int
 	reasons map[string]int
 }
 
@@ -127,11 +135,15 @@
 func (c *collector) add(kind int, result *Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kinds[kind].add(result)
-	c.total.add(result)
 	if result.Reason != "" {
 		c.reasons[result.Reason]++
 	}
+	if !result.Final {
+		c.retried++
+		return
+	}
+	c.kinds[kind].add(result)
+	c.total.add(result)
 }
 
 func (t *tally) add(result *Result) {
@@ -170,7 +182,7 @@
 func (c *collector) report(elapsed time.Duration, notSent int) *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Report{Seconds: elapsed.Seconds(), NotSent: notSent, Total: c.total.report(), Reasons: c.reasons}
+	r := &Report{Seconds: elapsed.Seconds(), NotSent: notSent, Retried: c.retried, Total: c.total.report(), Reasons: c.reasons}
 	for _, kind := range c.kinds {
 		r.Kinds = append(r.Kinds, kind.report())
 	}
@@ -207,7 +219,7 @@
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
-	_, err := fmt.Fprintf(w, "%s s, %d planned requests not sent\n", strconv.FormatFloat(r.Seconds, 'f', 1, 64), r.NotSent)
+	_, err := fmt.Fprintf(w, "%.1f s, %d sent again after not-run or unreachable, %d planned requests not sent\n", r.Seconds, r.Retried, r.NotSent)
 	return err
 }
 
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 // HeaderToken identifies one sending of a request. Two sendings with the same key have different tokens.
 const HeaderToken = "X-Request-Token"
 
+// HeaderBackend names the backend server that answered.
+const HeaderBackend = "X-Backend-Id"
+
 const (
 	firstErrorStatus = 400
 	dialTimeout      = 2 * time.Second
@@ -64,7 +68,11 @@
 	number int
 	start  time.Duration
 	target int
+	// resend says that the request is to be sent again with the same key, again that this is that second sending.
 	resend bool
+	again  bool
+	// sendings is the number of earlier sendings, which makes tokens unique.
+	sendings int
 }
 
 func newGenerator(plan *Plan, observe func(Result)) *generator {
@@ -151,15 +159,29 @@
 
 // fire sends a request and, if it is to be resent, sends it again through the next target.
 func (g *generator) fire(ctx context.Context, s shot) {
-	result := g.send(ctx, s, false)
-	g.finish(s, &result)
+	g.sendUntilFinal(ctx, &s)
 	if !s.resend {
 		return
 	}
 	s.target = (s.target + 1) % len(g.plan.Targets)
 	s.start = time.Since(g.begin)
-	again := g.send(ctx, s, true)
-	g.finish(s, &again)
+	s.again = true
+	g.sendUntilFinal(ctx, &s)
+}
+
+// sendUntilFinal sends a request and repeats it through the next target while it was not run and retries are left.
+func (g *generator) sendUntilFinal(ctx context.Context, s *shot) {
+	for retries := g.plan.Retries; ; retries-- {
+		result := g.send(ctx, *s)
+		s.sendings++
+		retry := result.Category == NotRun || result.Category == Unreachable
+		result.Final = !retry || retries <= 0 || ctx.Err() != nil
+		g.finish(*s, &result)
+		if result.Final {
+			return
+		}
+		s.target = (s.target + 1) % len(g.plan.Targets)
+	}
 }
 
 func (g *generator) finish(s shot, result *Result) {
@@ -169,19 +191,17 @@
 	}
 }
 
-func (g *generator) send(ctx context.Context, s shot, again bool) Result {
+func (g *generator) send(ctx context.Context, s shot) Result {
 	kind := &g.plan.Mix[s.kind]
-	result := Result{Kind: kind, Target: g.plan.Targets[s.target], Resent: again, Start: s.start}
+	result := Result{Kind: kind, Target: g.plan.Targets[s.target], Resent: s.again, Start: s.start}
 	id := fmt.Sprintf("%s-%d", g.plan.IDPrefix, s.number)
 	if kind.Keyed {
 		result.Key = "key-" + id
 	}
-	result.Token = "token-" + id
-	if again {
-		result.Token += "-again"
-	}
+	result.Token = fmt.Sprintf("token-%s-%d", id, s.sendings)
 	body := requestBody(kind, id)
-	request, err := newRequest(ctx, kind, &result, id, body)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { result.Connections++ }}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), kind, &result, id, body)
 	if err != nil {
 		result.Category, result.Err = NotRun, err
 		return result
@@ -230,7 +250,7 @@
 	}
 	defer response.Body.Close()
 	result.Status = response.StatusCode
-	result.Backend = response.Header.Get("X-Backend-Id")
+	result.Backend = response.Header.Get(HeaderBackend)
 	result.Reason = response.Header.Get(outcome.HeaderReason)
 	switch outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)) {
 	case outcome.NotRun:
