Prove that the owner's 'not run' is true

A copy of an attempt whose first copy was running was refused as 'not run'; it now says 'unknown' unless the first copy was certainly not run. The deadline is compared with the clock right before dispatch, because after a pause of the process the context's timer may not have fired yet.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -46,6 +46,7 @@
 	logger      *slog.Logger
 	incarnation uint64
 	started     time.Time
+	clock       clock.Clock
 	kernel      *kernel.Kernel
 	life        *stateless.StateMachine
 
@@ -72,6 +73,7 @@
 		logger:      logger,
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
+		clock:       clock.NewMonotonic(),
 		kernel:      kernel.New(),
 		life:        newLifeCycle(),
 		telemetry:   tele,
@@ -97,7 +99,7 @@
 		Incarnation: n.incarnation,
 		Zone:        n.settings.Zone,
 		Listen:      n.settings.PeerListen,
-		Clock:       clock.NewMonotonic(),
+		Clock:       n.clock,
 		Logger:      n.logger,
 		Summary:     n.summary,
 		ObserveSummary: func(address string, raw json.RawMessage) {
@@ -116,6 +118,7 @@
 		Incarnation: n.incarnation,
 		Backends:    backends(n.settings),
 		Decisions:   n.decisions,
+		Clock:       n.clock,
 	})
 }
 
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -253,7 +253,7 @@
 
 // dispatch hands the request to the backend server.
 func (e *endpoint) dispatch(ctx context.Context, r *Request, claim Claim) (*transport.Response, *outcome.Error) {
-	if ctx.Err() != nil {
+	if expired(ctx) {
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonDeadline, context.Cause(ctx))
 	}
 	if !r.Repeatable && !e.owner.mayRunOnce() {
@@ -276,6 +276,13 @@
 	return response, nil
 }
 
+// expired reports whether the request's time is over. After a pause of the process the context's timer may not have
+// fired yet, so the deadline is compared with the clock.
+func expired(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || (ok && !time.Now().Before(deadline))
+}
+
 func (e *endpoint) succeeded(r *Request) {
 	e.life.answered()
 	if e.owner.options.Quarantine != nil {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
@@ -61,6 +62,8 @@
 	Claims     Claimer
 	Quarantine Quarantine
 	Decisions  *decision.Recorder
+	// Clock detects pauses of the process.
+	Clock clock.Clock
 	// StateChanged is told of each change of an endpoint's state.
 	StateChanged func(endpoint string, state hop.State)
 }
@@ -79,7 +82,6 @@
 	leaving  atomic.Bool
 	held     atomic.Bool
 	lastTurn atomic.Int64
-	started  time.Time
 
 	mu        sync.RWMutex
 	endpoints map[string]*endpoint
@@ -93,7 +95,6 @@
 	return &Owner{
 		options:   options,
 		registry:  newRegistry(registryCapacity),
-		started:   time.Now(),
 		endpoints: make(map[string]*endpoint),
 		done:      make(chan struct{}),
 	}
@@ -205,8 +206,8 @@
 // Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
 // frees the slot.
 func (o *Owner) Do(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
-	if !o.registry.begin(r.Attempt) {
-		return nil, o.refuse(r, stepAdmit, outcome.ReasonVoided, nil)
+	if state, isNew := o.registry.begin(r.Attempt); !isNew {
+		return nil, o.refuseCopy(r, state)
 	}
 	response, failure := o.run(ctx, r)
 	if failure != nil && failure.Outcome == outcome.Unknown {
@@ -243,6 +244,14 @@
 	return outcome.Refuse(status, reason, step, r.Endpoint, cause)
 }
 
+// refuseCopy answers a second copy of an attempt. Only if the first was certainly not run may the copy say so.
+func (o *Owner) refuseCopy(r *Request, state AttemptState) *outcome.Error {
+	if state == AttemptNotRun {
+		return o.refuse(r, stepAdmit, outcome.ReasonVoided, nil)
+	}
+	return outcome.Lose(http.StatusBadGateway, outcome.ReasonVoided, stepAdmit, r.Endpoint, nil)
+}
+
 // pauseThreshold is the gap between two turns of the watch from which the process counts as paused.
 const pauseThreshold = time.Second
 
@@ -257,9 +266,9 @@
 	return !o.held.Load() && !o.paused()
 }
 
-// now returns the time since the owner was created.
+// now returns the monotonic time.
 func (o *Owner) now() time.Duration {
-	return time.Since(o.started)
+	return o.options.Clock.Now()
 }
 
 func (o *Owner) record(r *Request, failure *outcome.Error) {
--- /dev/null
+++ b/pkg/owner/owner_test.go
@@ -0,0 +1,203 @@
+package owner_test
+
+import (
+	"context"
+	"flag"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/owner"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fakeClock is a monotonic clock that tests move.
+type fakeClock struct {
+	now atomic.Int64
+}
+
+func (c *fakeClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+func (c *fakeClock) advance(d time.Duration) { c.now.Add(int64(d)) }
+
+// fakeClaims grants every claim and calls onClaim before.
+type fakeClaims struct {
+	onClaim  func()
+	valid    bool
+	released atomic.Int32
+}
+
+func (f *fakeClaims) Claim(context.Context, string, string, string) (owner.Claim, *outcome.Error) {
+	f.onClaim()
+	return f, nil
+}
+
+func (f *fakeClaims) Valid() bool  { return f.valid }
+func (f *fakeClaims) Release()     { f.released.Add(1) }
+func (f *fakeClaims) Complete(int) {}
+
+type fixture struct {
+	owner *owner.Owner
+	clock *fakeClock
+	runs  sync.Map
+}
+
+// backend counts the runs of each request by its path.
+func (f *fixture) backend(w http.ResponseWriter, r *http.Request) {
+	counter, _ := f.runs.LoadOrStore(r.URL.Path, new(atomic.Int32))
+	counter.(*atomic.Int32).Add(1)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *fixture) count(path string) int {
+	counter, ok := f.runs.Load(path)
+	if !ok {
+		return 0
+	}
+	return int(counter.(*atomic.Int32).Load())
+}
+
+func newFixture(t interface{ Cleanup(func()) }, claims owner.Claimer, slots int) *fixture {
+	f := &fixture{clock: &fakeClock{}}
+	backend := httptest.NewServer(http.HandlerFunc(f.backend))
+	t.Cleanup(backend.Close)
+	f.owner = owner.New(owner.Options{
+		Host:      "h1",
+		Backends:  map[string]string{"e1": backend.Listener.Addr().String()},
+		Claims:    claims,
+		Decisions: decision.NewRecorder(slog.New(slog.NewTextHandler(io.Discard, nil))),
+		Clock:     f.clock,
+	})
+	f.owner.Update(config.NewSnapshot(&config.Document{
+		Hosts:    []config.Host{{ID: "h1", Address: "127.0.0.1"}},
+		Services: []config.Service{{Name: "s", Endpoints: []config.Endpoint{{ID: "e1", Host: "h1", Slots: slots}}}},
+	}, ""))
+	return f
+}
+
+func (f *fixture) do(attempt, path string, repeatable bool) *outcome.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	head := &protocol.Request{}
+	head.Header.SetMethod("POST")
+	head.Header.SetRequestURI(path)
+	head.Header.SetHost("test")
+	request := &owner.Request{
+		Meta:      hop.Meta{RequestID: attempt, Attempt: attempt, Service: "s", Endpoint: "e1", Key: path, Repeatable: repeatable},
+		Transport: &transport.Request{Head: head},
+	}
+	response, failure := f.owner.Do(ctx, request)
+	if failure == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Close()
+	}
+	return failure
+}
+
+// Guards against a request that runs after its ingress was told that it was not run.
+func TestVoidedAttemptNeverRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(t, nil, 3)
+	g.Expect(f.owner.Inquire("a1")).To(gomega.Equal(owner.AttemptNotRun))
+	failure := f.do("a1", "/late", true)
+	g.Expect(failure).NotTo(gomega.BeNil())
+	g.Expect(failure.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(f.count("/late")).To(gomega.BeZero())
+}
+
+// Guards against a paused process that dispatches a request on what it believed before the pause.
+func TestRequestIsNotDispatchedAfterPauseDuringClaim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	claims := &fakeClaims{valid: true}
+	f := newFixture(t, claims, 3)
+	claims.onClaim = func() { f.clock.advance(2 * time.Second) }
+	failure := f.do("a1", "/charge", false)
+	g.Expect(failure).NotTo(gomega.BeNil())
+	g.Expect(failure.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(failure.Reason).To(gomega.Equal(outcome.ReasonStalePause))
+	g.Expect(f.count("/charge")).To(gomega.BeZero())
+	g.Expect(claims.released.Load()).To(gomega.Equal(int32(1)))
+}
+
+// Guards against a claim that is used after its validity has passed.
+func TestRequestIsNotDispatchedUnderExpiredClaim(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(t, &fakeClaims{onClaim: func() {}, valid: false}, 3)
+	failure := f.do("a1", "/charge", false)
+	g.Expect(failure).NotTo(gomega.BeNil())
+	g.Expect(failure.Outcome).To(gomega.Equal(outcome.NotRun))
+	g.Expect(f.count("/charge")).To(gomega.BeZero())
+}
+
+// Guards against a refusal that says "not run" for a request that ran, and against a second run of one attempt, under
+// concurrent attempts, inquiries, leaving, a pause and a queue that overflows.
+func TestNotRunIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		f := newFixture(t, nil, rapid.IntRange(1, 3).Draw(t, "slots"))
+		type attempt struct{ id, path string }
+		var attempts []attempt
+		for n := range rapid.IntRange(1, 12).Draw(t, "requests") {
+			id := string(rune('a' + n))
+			copies := rapid.IntRange(1, 2).Draw(t, "copies")
+			for range copies {
+				attempts = append(attempts, attempt{id: id, path: "/" + id})
+			}
+		}
+		leaveAt := rapid.IntRange(0, 2*len(attempts)).Draw(t, "leave")
+		inquired := make(map[string]owner.AttemptState)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		notRun := make(map[string]int)
+		copies := make(map[string]int)
+		for n, a := range attempts {
+			copies[a.path]++
+			if n == leaveAt {
+				f.owner.Leave()
+			}
+			if rapid.IntRange(0, 4).Draw(t, "inquire") == 0 {
+				inquired[a.path] = f.owner.Inquire(a.id)
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				failure := f.do(a.id, a.path, true)
+				mu.Lock()
+				defer mu.Unlock()
+				if failure != nil && failure.Outcome == outcome.NotRun {
+					notRun[a.path]++
+				}
+			}()
+		}
+		wg.Wait()
+		for path, total := range copies {
+			g.Expect(f.count(path)).To(gomega.BeNumerically("<=", total-notRun[path]), path)
+			g.Expect(f.count(path)).To(gomega.BeNumerically("<=", 1), path)
+			if inquired[path] == owner.AttemptNotRun {
+				g.Expect(f.count(path)).To(gomega.BeZero(), path)
+			}
+		}
+	})
+}
--- a/pkg/owner/registry.go
+++ b/pkg/owner/registry.go
@@ -33,16 +33,16 @@
 	return &registry{states: make(map[string]AttemptState), order: make([]string, capacity)}
 }
 
-// begin registers an attempt. It returns false if the attempt is known already, because it was voided by an inquiry
-// or is a duplicate.
-func (r *registry) begin(attempt string) bool {
+// begin registers an attempt. If the attempt is known already, because it was voided by an inquiry or is a copy, begin
+// returns its state and false.
+func (r *registry) begin(attempt string) (AttemptState, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.states[attempt]; known {
-		return false
+	if state, known := r.states[attempt]; known {
+		return state, false
 	}
 	r.insert(attempt, AttemptQueued)
-	return true
+	return AttemptQueued, true
 }
 
 func (r *registry) set(attempt string, state AttemptState) {
