--- a/bench/processes/binaries.go
+++ b/bench/processes/binaries.go
@@ -61,3 +61,8 @@
 		dir = parent
 	}
 }
+
+// Built returns the programs that were built into dir before.
+func Built(dir string) *Binaries {
+	return &Binaries{dir: dir}
+}
