Add agatectl diff

Operators compare the document to publish with the one in force before they publish. Changes are listed by entry and field; a version that is not higher is pointed out, because nodes would reject it.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -64,6 +64,7 @@
 func commands(env *environment) []command {
 	return []command{
 		{"validate", "Check a configuration document", validateHelp, &validateCommand{env: env}},
+		{"diff", "List the changes between two documents", diffHelp, &diffCommand{env: env}},
 		{"status", "Show the status of a node", statusHelp, &statusCommand{env: env}},
 		{"explain", "Show why a node treated a request as it did", explainHelp, &explainCommand{env: env}},
 		{"load", "Send requests at a constant rate and report the outcomes", loadHelp, &loadCommand{env: env}},
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -97,6 +97,7 @@
 		"unknown flag":     {[]string{"validate", "--fast", "x"}, ctl.ExitUsage},
 		"missing argument": {[]string{"validate"}, ctl.ExitUsage},
 		"extra argument":   {[]string{"status", node, "x"}, ctl.ExitUsage},
+		"diff missing":     {[]string{"diff", "x"}, ctl.ExitUsage},
 		"bad node":         {[]string{"status", "localhost"}, ctl.ExitUsage},
 		"not listening":    {[]string{"status", "127.0.0.1:1"}, ctl.ExitFailure},
 		"unknown request":  {[]string{"explain", node, "r2"}, ctl.ExitFailure},
@@ -124,6 +125,26 @@
 	g.Expect(stderr).To(gomega.ContainSubstring("routes[0].service"))
 }
 
+// Guards against a difference that hides a changed field, and against publishing a version that nodes reject.
+func TestDiffListsFieldsAndLowVersions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	after := document()
+	after.Services[0].Endpoints[0].Slots = 5
+	after.Services[0].FloorPercent = 60
+	after.Routes = append(after.Routes, config.Route{ID: "charges", PathPrefix: "/charges", Service: "desk", Repeatable: true})
+	before := writeFile(t, document())
+	code, stdout, stderr := run("diff", before, writeFile(t, after))
+	g.Expect(code).To(gomega.Equal(ctl.ExitSuccess), stderr)
+	for _, line := range []string{
+		"warning: the new version is not higher", "changed endpoint desk/desk-1\n  slots: 3 -> 5\n",
+		"changed service desk\n  floor_percent: 50 -> 60\n", "added route charges", `path_prefix: none -> "/charges"`,
+	} {
+		g.Expect(stdout).To(gomega.ContainSubstring(line))
+	}
+	_, stdout, _ = run("diff", before, before)
+	g.Expect(stdout).To(gomega.Equal("version 1.7 -> 1.7, 0 changed entries\n"))
+}
+
 // Guards against a status that leaves out what an operator needs to find a node with an old configuration or an
 // endpoint out of rotation.
 func TestStatusShowsVersionsAlarmsAndReasons(t *testing.T) {
