Compose the deltas of several versions into one

Tests seen failing first: TestComposedDeltasLeadToTheLastDocument without the later removals, without the earlier entries, and without the check that the deltas follow each other.

--- a/pkg/config/delta.go
+++ b/pkg/config/delta.go
@@ -22,7 +22,7 @@
 }
 
 // Changes holds the changes of one list: entries that were added or changed, and the ids of removed ones, both in
-// increasing order of ids.
+// increasing order of ids. An entry that is set wins over its removal.
 type Changes[T any] struct {
 	Set    []T      `json:"set,omitempty"`
 	Remove []string `json:"remove,omitempty"`
@@ -82,6 +82,40 @@
 	return snapshot, nil
 }
 
+// Compose returns one delta with the effect of several that follow each other.
+func Compose(deltas []*Delta) (*Delta, error) {
+	if len(deltas) == 0 {
+		return nil, fmt.Errorf("compose deltas: none given: %w", ErrDeltaMismatch)
+	}
+	composed := *deltas[0]
+	for _, next := range deltas[1:] {
+		if next.From != composed.To || next.FromDigest != composed.ToDigest {
+			return nil, fmt.Errorf("compose deltas: %v does not follow %v: %w", next.From, composed.To, ErrDeltaMismatch)
+		}
+		composed.To, composed.ToDigest, composed.Format = next.To, next.ToDigest, next.Format
+		composed.Hosts = composeChanges(composed.Hosts, next.Hosts, hostID)
+		composed.Services = composeChanges(composed.Services, next.Services, serviceName)
+		composed.Routes = composeChanges(composed.Routes, next.Routes, routeID)
+		composed.Workspaces = composeChanges(composed.Workspaces, next.Workspaces, workspaceID)
+	}
+	return &composed, nil
+}
+
+// composeChanges merges later changes into earlier ones. An id may end up in both lists of the result: merge lets an
+// entry that is set win, and removing an entry that the base does not have is harmless.
+func composeChanges[T any](earlier, later Changes[T], id func(*T) string) Changes[T] {
+	if later.Len() == 0 {
+		return earlier
+	}
+	composed := Changes[T]{
+		Set:    merge(earlier.Set, later, id),
+		Remove: slices.Concat(earlier.Remove, later.Remove),
+	}
+	slices.Sort(composed.Remove)
+	composed.Remove = slices.Compact(composed.Remove)
+	return composed
+}
+
 // compare returns the changes between two ordered lists.
 func compare[T any](old, new []T, id func(*T) string, same func(a, b *T) bool) Changes[T] {
 	var changes Changes[T]
--- a/pkg/config/delta_test.go
+++ b/pkg/config/delta_test.go
@@ -42,6 +42,30 @@
 	})
 }
 
+// Guards against composed deltas that lose a change, resurrect a removed entry or skip a version.
+func TestComposedDeltasLeadToTheLastDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		first := load(g, drawDocument(t))
+		last := first
+		var deltas []*config.Delta
+		for range rapid.IntRange(1, 4).Draw(t, "steps") {
+			next := load(g, drawDocument(t))
+			deltas = append(deltas, config.NewDelta(last, next))
+			last = next
+		}
+		composed, err := config.Compose(deltas)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		got, err := config.Apply(first, composed)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.Digest()).To(gomega.Equal(last.Digest()))
+		if len(deltas) > 2 && deltas[0].ToDigest != deltas[2].FromDigest {
+			_, err = config.Compose([]*config.Delta{deltas[0], deltas[2]})
+			g.Expect(err).To(gomega.MatchError(config.ErrDeltaMismatch))
+		}
+	})
+}
+
 // Guards against a delta that is applied to another base, that is altered on the way, or that leads to an invalid
 // document.
 func TestApplyRejectsWrongDeltas(t *testing.T) {
