--- a/pkg/config/canonical.go
+++ b/pkg/config/canonical.go
@@ -67,11 +67,11 @@
 
 // Digest returns the SHA-256 digest of the canonical JSON of a document in hexadecimal.
 func Digest(document *Document) (string, error) {
-	sum := sha256.New()
+	sum := newSummer()
 	if err := WriteCanonical(sum, document); err != nil {
 		return "", err
 	}
-	return digestText(sum), nil
+	return sum.digest(), nil
 }
 
 // DigestBytes returns the SHA-256 digest of data in hexadecimal.
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	document = Normalize(document)
-	sum := sha256.New()
+	sum := newSummer()
 	same := &comparer{want: data}
 	if err := WriteCanonical(io.MultiWriter(sum, same), document); err != nil {
 		return nil, err
@@ -103,7 +103,7 @@
 			return nil, err
 		}
 	}
-	return NewSnapshot(document, digestText(sum)), nil
+	return newSizedSnapshot(document, sum), nil
 }
 
 // Load checks and indexes a document that is already decoded. The document must not be changed afterwards.
@@ -112,15 +112,36 @@
 		return nil, err
 	}
 	document = Normalize(document)
-	digest, err := Digest(document)
-	if err != nil {
+	sum := newSummer()
+	if err := WriteCanonical(sum, document); err != nil {
 		return nil, err
 	}
-	return NewSnapshot(document, digest), nil
+	return newSizedSnapshot(document, sum), nil
+}
+
+func newSizedSnapshot(document *Document, sum *summer) *Snapshot {
+	snapshot := NewSnapshot(document, sum.digest())
+	snapshot.size = sum.size
+	return snapshot
+}
+
+// summer is a writer that computes the digest and the size of what is written.
+type summer struct {
+	hash hash.Hash
+	size int
+}
+
+func newSummer() *summer {
+	return &summer{hash: sha256.New()}
+}
+
+func (s *summer) Write(data []byte) (int, error) {
+	s.size += len(data)
+	return s.hash.Write(data)
 }
 
-func digestText(sum hash.Hash) string {
-	return hex.EncodeToString(sum.Sum(nil))
+func (s *summer) digest() string {
+	return hex.EncodeToString(s.hash.Sum(nil))
 }
 
 // sorted returns the entries in the order of their keys, without a copy if they are in order already.
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -12,6 +12,7 @@
 type Snapshot struct {
 	document  *Document
 	digest    string
+	size      int
 	hosts     map[string]*Host
 	services  map[string]*Service
 	endpoints map[string]EndpointRef
@@ -58,6 +59,10 @@
 // Digest returns the digest of the document.
 func (s *Snapshot) Digest() string { return s.digest }
 
+// Size returns the length of the canonical JSON in bytes. It is zero if the snapshot was not made by Parse, Load or
+// Apply.
+func (s *Snapshot) Size() int { return s.size }
+
 // Document returns the indexed document. It must not be changed.
 func (s *Snapshot) Document() *Document { return s.document }
 
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -51,6 +51,7 @@
 type Store struct {
 	log     *slog.Logger
 	current atomic.Pointer[config.Snapshot]
+	archive *archive
 
 	// mu serializes adoptions, so that subscribers see every version once and in order.
 	mu          sync.Mutex
@@ -65,7 +66,7 @@
 
 // New returns a store without a configuration.
 func New(log *slog.Logger) *Store {
-	return &Store{log: log}
+	return &Store{log: log, archive: newArchive()}
 }
 
 // Current returns the configuration in force, or nil before the first adoption.
@@ -102,15 +103,12 @@
 	defer s.mu.Unlock()
 	decision := Decision{Offered: markOf(offered), InForce: s.mark()}
 	decision.Verdict = configstate.Judge(decision.InForce, decision.Offered)
-	switch decision.Verdict {
-	case configstate.Adopt:
-		s.adopt(source, offered)
-		decision.InForce = decision.Offered
-	case configstate.Conflict:
-		s.raise(source, decision)
-	case configstate.Older:
-		s.logDecision(slog.LevelInfo, "configuration rejected", source, decision)
+	if decision.Verdict != configstate.Adopt {
+		s.reject(source, decision.Offered)
+		return decision
 	}
+	s.adopt(source, offered)
+	decision.InForce = decision.Offered
 	return decision
 }
 
@@ -124,6 +122,7 @@
 func (s *Store) adopt(source Source, offered *config.Snapshot) {
 	old := s.current.Swap(offered)
 	s.clearAlarms()
+	s.archive.record(old, offered)
 	s.log.Info("configuration adopted", "source", string(source), "version", offered.Version().String(),
 		"digest", offered.Digest(), "previous", markOf(old).Version.String())
 	for _, notify := range s.subscribers {
@@ -131,6 +130,19 @@
 	}
 }
 
+// reject records that a document known only by its mark is not adopted: an older one is logged, a conflicting one raises
+// an alarm.
+func (s *Store) reject(source Source, offered configstate.Mark) {
+	decision := Decision{Offered: offered, InForce: s.mark()}
+	decision.Verdict = configstate.Judge(decision.InForce, offered)
+	switch decision.Verdict {
+	case configstate.Conflict:
+		s.raise(source, decision)
+	case configstate.Older:
+		s.logDecision(slog.LevelInfo, "configuration rejected", source, decision)
+	}
+}
+
 func (s *Store) raise(source Source, decision Decision) {
 	alarm := Alarm{
 		Version:  decision.InForce.Version,
--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -25,6 +25,14 @@
 	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
 		panic(err)
 	}
+	// The shared compressor keeps channels, which must not be created inside a synctest bubble.
+	packed, err := config.Compress([]byte("x"))
+	if err != nil {
+		panic(err)
+	}
+	if _, err := config.Decompress(packed); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
