Compare evidence with peers in the same period and detect stalls at the owner

Cause of the first false ejections: owners' scores were added to the ingress's own score of the same requests, failures were weighed with a share learned before a burst, and old evidence was compared with later outcomes of peers.

Now the outcomes of one second are compared with those of peers in that second and then settled; a zone's peers count as slow until outcomes show otherwise; an owner reports only that nothing is answered, not failures or slowness; a stalled backend server gets one request at a time; suspects weigh less as their score grows; probes double their interval and are resent after the 99th percentile; cold endpoints are not judged by latency.

--- a/bench/model/ingress.go
+++ b/bench/model/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,7 +13,11 @@
 	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
-const healthTick = 100 * time.Millisecond
+const (
+	healthTick = 100 * time.Millisecond
+	// minProbeLimit is the shortest time after which an unanswered probe is sent elsewhere.
+	minProbeLimit = 50 * time.Millisecond
+)
 
 // ingress is a node as callers see it: it chooses endpoints, forwards, retries and keeps a health view.
 type ingress struct {
@@ -46,6 +51,7 @@
 	attempts   int
 	done       bool
 	hitFault   bool
+	tried      []int
 }
 
 type attempt struct {
@@ -60,6 +66,7 @@
 	started  time.Duration
 	running  bool
 	closed   bool
+	probe    bool
 }
 
 func newIngress(m *Model, index int) *ingress {
@@ -155,19 +162,36 @@
 
 func (in *ingress) serve(r *request) {
 	r.attempts++
+	if endpoint, ok := in.probe(r); ok {
+		in.send(r, endpoint, true)
+		return
+	}
 	endpoint := in.choose(r)
 	if endpoint < 0 {
 		in.finish(r, false)
 		return
 	}
-	in.send(r, endpoint)
+	in.send(r, endpoint, false)
+}
+
+// probe returns an endpoint that is due for a probe if the request may serve as one.
+func (in *ingress) probe(r *request) (int, bool) {
+	if in.detector == nil || !r.repeatable || r.long || r.attempts > 1 {
+		return 0, false
+	}
+	id, ok := in.detector.NextProbe(in.m.now)
+	if !ok {
+		return 0, false
+	}
+	return endpointIndex(id), true
 }
 
-func (in *ingress) send(r *request, endpoint int) {
+func (in *ingress) send(r *request, endpoint int, probe bool) {
 	m := in.m
 	m.attempts++
-	a := &attempt{m: m, request: r, ingress: in, endpoint: endpoint, number: m.attempts, sent: m.now}
+	a := &attempt{m: m, request: r, ingress: in, endpoint: endpoint, number: m.attempts, sent: m.now, probe: probe}
 	a.key = strconv.FormatUint(a.number, 10)
+	r.tried = append(r.tried, endpoint)
 	m.Result.attempt(a)
 	in.peers[endpoint].inFlight[a] = struct{}{}
 	if in.detector != nil {
@@ -182,6 +206,10 @@
 	if t := m.policy.AttemptTimeout; t > 0 {
 		limit = min(limit, m.now+t)
 	}
+	if probe {
+		slow := in.detector.TotalQuantile(strconv.Itoa(endpoint%m.service.Zones), r.long, 0.01)
+		limit = min(limit, m.now+max(slow, minProbeLimit))
+	}
 	m.after(limit-m.now, func() { in.timeout(a) })
 }
 
@@ -286,11 +314,6 @@
 }
 
 func (in *ingress) choose(r *request) int {
-	if in.detector != nil && r.repeatable && !r.long && r.attempts == 1 {
-		if id, ok := in.detector.NextProbe(in.m.now); ok {
-			return endpointIndex(id)
-		}
-	}
 	switch in.m.policy.Routing {
 	case RoundRobin:
 		return in.roundRobin()
@@ -301,7 +324,13 @@
 	if r.long && in.m.policy.Pack > 0 {
 		local, order = 0, in.m.packed
 	}
-	at := func(i int) balance.Candidate { return in.candidate(order[i]) }
+	at := func(i int) balance.Candidate {
+		c := in.candidate(order[i])
+		if slices.Contains(r.tried, order[i]) {
+			c.Weight = 0
+		}
+		return c
+	}
 	source := balance.Source{Local: local, Total: len(order), At: at}
 	request := balance.Request{Zone: strconv.Itoa(in.zone), Long: r.long, Repeatable: r.repeatable}
 	i, _ := balance.ChooseFrom(in.rng, in.m.policy.Balance, source, request)
--- a/bench/model/owner.go
+++ b/bench/model/owner.go
@@ -68,7 +68,7 @@
 
 // publish sends news when the owner's view of its backend server changes between suspect and not.
 func (o *owner) publish() {
-	suspect := o.score() >= o.m.policy.Health.WithDefaults().EjectScore
+	suspect := o.score() >= o.m.policy.Health.WithDefaults().StallScore
 	if !o.m.policy.OwnerNews || (suspect == o.reported && !suspect) {
 		return
 	}
@@ -83,7 +83,7 @@
 	if o.detector == nil {
 		return 0
 	}
-	return o.detector.Score(o.m.now, o.id)
+	return o.detector.StallScore(o.m.now, o.id)
 }
 
 func (o *owner) offer(a *attempt) {
@@ -91,6 +91,7 @@
 		a.answer(reply{failed: true, notRun: true, load: o.queue.Load()})
 		return
 	}
+	o.limit()
 	o.attempts[a.key] = a
 	a.arrived = o.m.now
 	d := o.queue.Offer(o.m.now, admission.Item{ID: a.key, Long: a.request.long, Deadline: a.request.deadline})
@@ -109,6 +110,7 @@
 }
 
 func (o *owner) dispatch() {
+	o.limit()
 	for _, item := range o.queue.Next(o.m.now) {
 		o.run(o.attempts[item.ID])
 	}
@@ -117,6 +119,19 @@
 	}
 }
 
+// limit keeps queued requests from a backend server that has stopped answering.
+func (o *owner) limit() {
+	q, ok := o.queue.(*admission.Queue)
+	if !ok || o.detector == nil {
+		return
+	}
+	slots := o.m.service.Slots
+	if o.detector.Stalled(o.m.now, o.id) {
+		slots = 1
+	}
+	q.Resize(slots)
+}
+
 func (o *owner) run(a *attempt) {
 	m := o.m
 	a.started = m.now
--- a/bench/model/result.go
+++ b/bench/model/result.go
@@ -32,6 +32,8 @@
 	warmLatencies  []time.Duration
 	AnsweredWindow []int // answered requests by second of arrival
 	hitAttempts    int
+	// Log lists the false ejections.
+	Log []string
 }
 
 type hitRequest struct {
--- a/bench/policies/detect.go
+++ b/bench/policies/detect.go
@@ -241,7 +241,10 @@
 }
 
 func m1Stall(e experiment, p model.Policy) []*model.Result {
-	s := orderDesk
+	return m1StallOf(orderDesk, e, p)
+}
+
+func m1StallOf(s model.Service, e experiment, p model.Policy) []*model.Result {
 	faults := single(model.Stall)(m1Warmup)
 	rate := 0.6 * s.Capacity(float64(s.Endpoints))
 	l := model.Load{Rate: constant(rate), PeakRate: rate, Warmup: m1Warmup, End: m1Warmup + m1Fault, Faults: faults}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -52,7 +52,7 @@
 	// drawLimit bounds the random draws per group before the search becomes a walk.
 	drawLimit = 24
 	// minWeight keeps the share of a returning endpoint above zero.
-	minWeight = 0.02
+	minWeight = 0.01
 )
 
 // Source gives access to candidates without building a list of them. Candidates [0, Local) are in the zone of the
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -7,6 +7,7 @@
 package health
 
 import (
+	"math"
 	"time"
 )
 
@@ -24,8 +25,11 @@
 
 // Settings tune the detector. The zero value means the defaults.
 type Settings struct {
-	SuspectScore  float64
-	EjectScore    float64
+	SuspectScore float64
+	EjectScore   float64
+	// StallScore is the score of an owner's report from which the endpoint counts as stalled. It is lower than
+	// EjectScore because the report also says that nothing was answered in the meantime.
+	StallScore    float64
 	HoldOff       time.Duration
 	HoldOffMax    time.Duration
 	Ramp          time.Duration
@@ -36,6 +40,7 @@
 const (
 	DefaultSuspectScore  = 9.0
 	DefaultEjectScore    = 18.0
+	DefaultStallScore    = 16.0
 	DefaultHoldOff       = 2 * time.Second
 	DefaultHoldOffMax    = 5 * time.Minute
 	DefaultRamp          = 5 * time.Second
@@ -46,6 +51,7 @@
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.SuspectScore, DefaultSuspectScore)
 	setDefault(&s.EjectScore, DefaultEjectScore)
+	setDefault(&s.StallScore, DefaultStallScore)
 	setDefault(&s.HoldOff, DefaultHoldOff)
 	setDefault(&s.HoldOffMax, DefaultHoldOffMax)
 	setDefault(&s.Ramp, DefaultRamp)
@@ -107,9 +113,19 @@
 	// that still reports to be cold.
 	minWeight  = 0.05
 	coldWeight = 0.5
+	// The weight of a suspect halves with each weightHalving of its score. It decides between suspects when all
+	// endpoints are suspect, and how loaded the others must be before a suspect is used.
+	weightHalving    = 3.0
+	minSuspectWeight = 0.01
 	// forgiveAfter is the healthy time, in units of the current hold-off, after which one ejection is forgiven.
 	forgiveAfter = 10
 	maxFlaps     = 30
+	// maxProbeDoublings bounds the growth of the probe interval, which doubles with each bad probe, because probes are
+	// requests of callers.
+	maxProbeDoublings = 5
+	// A bad probe counts unless at least probeFailures of the peers' requests failed within probeWindow.
+	probeWindow   = time.Second
+	probeFailures = 0.2
 )
 
 type openRequest struct {
@@ -125,20 +141,26 @@
 	protected bool
 	active    bool
 	evidence  evidence
+	score     float64 // the evidence relative to peers, as last judged
 	open      []openRequest
 
-	flaps      int
-	until      time.Duration // end of the hold-off
-	goodSince  time.Duration // start of the healthy time that forgives an ejection
-	rampStart  time.Duration
-	ramps      bool
-	lastProbe  time.Duration
-	probing    bool
-	probe      uint64
-	passes     int
-	reason     string
-	ownerScore float64
-	ownerAt    time.Duration
+	flaps     int
+	until     time.Duration // end of the hold-off
+	goodSince time.Duration // start of the healthy time that forgives an ejection
+	rampStart time.Duration
+	ramps     bool
+	lastProbe time.Duration
+	// lastSuccess is the time of the latest successful answer, unanswered the evidence of requests given up since then.
+	lastSuccess time.Duration
+	unanswered  stallEvidence
+	probing     bool
+	probe       uint64
+	passes      int
+	badProbes   int
+	quality     float64
+	reason      string
+	ownerScore  float64
+	ownerAt     time.Duration
 }
 
 // Detector is the view of one service from one place. It is not safe for concurrent use.
@@ -171,13 +193,17 @@
 	d.byID = make(map[string]*endpoint, len(endpoints))
 	d.order = d.order[:0]
 	d.floorPercent = floorPercent
+	for _, g := range d.groups {
+		g.endpoints = 0
+	}
 	for _, spec := range endpoints {
 		e, ok := known[spec.ID]
 		if !ok {
-			e = &endpoint{rank: rank(d.service, spec.ID), goodSince: now}
+			e = &endpoint{rank: rank(d.service, spec.ID), goodSince: now, quality: 1}
 		}
 		e.update(now, spec)
 		d.byID[spec.ID] = e
+		d.group(e.Zone).endpoints++
 		d.order = append(d.order, e)
 		d.activate(e)
 	}
@@ -228,6 +254,7 @@
 
 func (d *Detector) move(changes []Transition, now time.Duration, e *endpoint, t trigger, reason string) []Transition {
 	from := e.state
+	score := e.score
 	e.fire(t)
 	e.reason = reason
 	switch e.state {
@@ -236,17 +263,17 @@
 	case Ejected:
 		e.flaps = min(e.flaps+1, maxFlaps)
 		e.until = now + d.holdOff(e)
-		e.evidence = evidence{}
+		e.evidence, e.score = evidence{}, 0
 		e.passes = 0
 		e.ramps = false
 	case Probation:
 		e.passes = 0
 	case Ramping:
-		e.evidence = evidence{}
+		e.evidence, e.score = evidence{}, 0
 		e.startRamp(now)
 	}
 	d.activate(e)
-	return append(changes, Transition{Endpoint: e.ID, From: from, To: e.state, Score: e.evidence.score, Reason: reason})
+	return append(changes, Transition{Endpoint: e.ID, From: from, To: e.state, Score: score, Reason: reason})
 }
 
 // holdOff is the time for which the endpoint stays out after its latest ejection.
@@ -292,7 +319,11 @@
 	if kind == Neutral {
 		return nil
 	}
+	d.countUnanswered(now, e, r, kind)
 	bad := d.observe(now, e, r, kind, latency)
+	if probe {
+		e.countProbe(bad)
+	}
 	if probe && e.state == Probation {
 		return d.endProbe(now, e, bad)
 	}
@@ -310,10 +341,31 @@
 	return openRequest{}, false
 }
 
+func (d *Detector) countUnanswered(now time.Duration, e *endpoint, r openRequest, kind Kind) {
+	switch kind {
+	case Success:
+		e.lastSuccess = now
+		e.unanswered = stallEvidence{}
+	case Timeout:
+		e.unanswered.add(r.begin, d.openSample(now, e, r))
+	}
+}
+
+func (e *endpoint) countProbe(bad bool) {
+	if !bad {
+		e.badProbes = 0
+		return
+	}
+	e.badProbes = min(e.badProbes+1, maxProbeDoublings)
+}
+
 func (d *Detector) endProbe(now time.Duration, e *endpoint, bad bool) []Transition {
-	if bad {
+	if bad && d.peersAreGood(now, e) {
 		return d.move(nil, now, e, triggerEject, ReasonProbe)
 	}
+	if bad {
+		return nil
+	}
 	e.passes++
 	if e.passes < probesToPass {
 		return nil
@@ -321,21 +373,28 @@
 	return d.move(nil, now, e, triggerPass, ReasonProbes)
 }
 
+// peersAreGood reports whether a bad probe says something about the endpoint rather than about the whole service.
+func (d *Detector) peersAreGood(now time.Duration, e *endpoint) bool {
+	p := d.peers(now, e, now-probeWindow)
+	return p.failureShare(d.failures) < probeFailures && p.excess(0) < slowPeers
+}
+
 // judge compares the evidence against an endpoint with the thresholds.
 func (d *Detector) judge(changes []Transition, now time.Duration, e *endpoint) []Transition {
 	switch e.state {
 	case Healthy, Ramping:
-		if d.relative(now, e) < d.settings.SuspectScore {
+		e.score = d.relative(now, e)
+		if e.score < d.settings.SuspectScore {
 			return changes
 		}
 		changes = d.move(changes, now, e, triggerDoubt, ReasonEvidence)
 		return d.judge(changes, now, e)
 	case Suspect:
-		score := d.relative(now, e)
-		if score >= d.settings.EjectScore && !e.protected {
+		e.score = d.relative(now, e)
+		if e.score >= d.settings.EjectScore && !e.protected {
 			return d.move(changes, now, e, triggerEject, ReasonEvidence)
 		}
-		if score < d.settings.SuspectScore/2 {
+		if e.score < d.settings.SuspectScore/2 {
 			return d.move(changes, now, e, triggerClear, ReasonCleared)
 		}
 	}
@@ -375,6 +434,7 @@
 	case Probation:
 		if d.openEvidence(now, e).score >= maxSample {
 			e.probing, e.probe = false, 0
+			e.countProbe(true)
 			return d.move(changes, now, e, triggerEject, ReasonProbe)
 		}
 		return changes
@@ -393,7 +453,7 @@
 
 // busy reports whether Tick has to look at the endpoint.
 func (e *endpoint) busy() bool {
-	return e.state != Healthy || len(e.open) > 0 || e.flaps > 0 || e.ramps || e.ownerScore > 0
+	return e.state != Healthy || e.evidence.pending() || len(e.open) > 0 || e.flaps > 0 || e.ramps || e.ownerScore > 0
 }
 
 func (d *Detector) activate(e *endpoint) {
@@ -409,12 +469,15 @@
 	if !ok {
 		return View{}
 	}
-	v := View{State: e.state, Score: e.evidence.score, Protected: e.protected, Reason: e.reason}
+	v := View{State: e.state, Score: e.score, Protected: e.protected, Reason: e.reason}
 	if e.Unavailable || e.state == Ejected || e.state == Probation {
 		return v
 	}
 	v.Weight = d.weight(now, e)
-	v.LastResort = e.state == Suspect
+	if e.state == Suspect {
+		v.LastResort = true
+		v.Weight *= max(minSuspectWeight, e.quality*math.Exp2(-e.score/weightHalving))
+	}
 	return v
 }
 
@@ -453,12 +516,11 @@
 	if e.Unavailable || (e.state != Suspect && e.state != Probation) {
 		return false
 	}
-	// A probe whose Begin never came must not block the next one for ever.
-	stale := e.probe == 0 && now-e.lastProbe >= d.settings.ProbeInterval
-	if e.probing && !stale {
+	if e.lastProbe != 0 && now-e.lastProbe < d.settings.ProbeInterval<<e.badProbes {
 		return false
 	}
-	if e.lastProbe != 0 && now-e.lastProbe < d.settings.ProbeInterval {
+	// A probe whose Begin never came does not block the next one.
+	if e.probing && e.probe != 0 {
 		return false
 	}
 	e.lastProbe = now
@@ -482,22 +544,36 @@
 	return d.judge(nil, now, e)
 }
 
-// Score returns the evidence against an endpoint without comparing it with its peers. The owner of a backend server,
-// which sees no peers, publishes it in its load reports.
-func (d *Detector) Score(now time.Duration, endpointID string) float64 {
+// StallScore returns the evidence that an endpoint has stopped answering. The owner of a backend server publishes it
+// in its load reports. It excludes failures and slow answers, which an owner, seeing no peers, cannot tell from those
+// of a service that fails or is slow as a whole.
+func (d *Detector) StallScore(now time.Duration, endpointID string) float64 {
 	e, ok := d.byID[endpointID]
 	if !ok {
 		return 0
 	}
-	return e.evidence.decayed(now).score + d.openEvidence(now, e).score
+	v := e.unanswered
+	for _, r := range e.open {
+		v.add(r.begin, d.openSample(now, e, r))
+	}
+	if v.count == 0 || e.lastSuccess >= v.since+(now-v.since)/4 {
+		return 0
+	}
+	return v.sum()
+}
+
+// Stalled reports whether the evidence that the endpoint has stopped answering suffices to send it only one request at
+// a time.
+func (d *Detector) Stalled(now time.Duration, endpointID string) bool {
+	return d.StallScore(now, endpointID) >= d.settings.StallScore/2
 }
 
-// SlowAfter returns the age from which a request of the class should be inquired about at its owner: three times the
-// 99th percentile seen in the zone, or 0 while too little is known.
-func (d *Detector) SlowAfter(zone string, long bool) time.Duration {
+// TotalQuantile returns the time since sending within which all but the given share of the requests of the class to
+// endpoints of the zone were answered, or 0 while too little is known.
+func (d *Detector) TotalQuantile(zone string, long bool, share float64) time.Duration {
 	g, ok := d.groups[zone]
 	if !ok {
 		return 0
 	}
-	return 3 * g.total[class(long)].quantile(0.01)
+	return g.total[class(long)].quantile(share)
 }
