Claim keys before dispatch, rescue waiting requests, report stalls

The owner claims the key of a request that may not be repeated before it dispatches it, watches its backend server with the detector of core/health, and reports the score; while the backend server does not answer it gets one request at a time. When an endpoint becomes suspect, its ingresses place the requests that still wait for it elsewhere: repeatable ones at once, others only if the owner takes them out of its queue. A probe is ended after the 99th percentile.

Ending an attempt early raced with the arrival of its answer and could have cut a whole answer off; the abort now has no effect once the head has arrived.

Ruled out: rescuing by closing the connection of requests that may not be repeated, which would turn a queued payment into an unknown outcome.

--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	telemetry.RedirectHertzLog(log.Logger())
 	n, err := node.New(s, log)
 	if err != nil {
 		return err
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -103,16 +103,51 @@
 	Queued      int
 	Slots       int
 	Incarnation uint64
+	// Score is the owner's evidence that the backend server has stopped answering.
+	Score float64
+	// Wait is the time for which the answered request waited for a slot.
+	Wait time.Duration
 }
 
 // String encodes the report as a header value.
 func (l Load) String() string {
-	return fmt.Sprintf("%s %d %d %d %d", l.State, l.Busy, l.Queued, l.Slots, l.Incarnation)
+	return fmt.Sprintf("%s %d %d %d %d %.1f %d", l.State, l.Busy, l.Queued, l.Slots, l.Incarnation, l.Score, l.Wait.Microseconds())
 }
 
 // ParseLoad decodes a header value. It returns false if the value is malformed.
 func ParseLoad(value string) (Load, bool) {
-	var l Load
-	n, err := fmt.Sscanf(value, "%s %d %d %d %d", &l.State, &l.Busy, &l.Queued, &l.Slots, &l.Incarnation)
-	return l, err == nil && n == 5
+	fields := strings.Fields(value)
+	if len(fields) != loadFields {
+		return Load{}, false
+	}
+	p := fieldParser{}
+	l := Load{
+		State:       State(fields[0]),
+		Busy:        int(p.integer(fields[1])),
+		Queued:      int(p.integer(fields[2])),
+		Slots:       int(p.integer(fields[3])),
+		Incarnation: p.integer(fields[4]),
+		Score:       p.float(fields[5]),
+		Wait:        time.Duration(p.integer(fields[6])) * time.Microsecond,
+	}
+	return l, !p.failed
+}
+
+const loadFields = 7
+
+// fieldParser parses numbers and remembers whether one was malformed.
+type fieldParser struct {
+	failed bool
+}
+
+func (p *fieldParser) integer(text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	p.failed = p.failed || err != nil
+	return n
+}
+
+func (p *fieldParser) float(text string) float64 {
+	f, err := strconv.ParseFloat(text, 64)
+	p.failed = p.failed || err != nil
+	return f
 }
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -217,6 +217,7 @@
 type refusal struct {
 	Outcome   outcome.Outcome `json:"outcome"`
 	Reason    outcome.Reason  `json:"reason"`
+	Recorded  string          `json:"recorded,omitempty"`
 	RequestID string          `json:"request_id"`
 }
 
@@ -226,11 +227,14 @@
 	c.Response.SetStatusCode(failure.Status)
 	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
 	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
+	if failure.Recorded != "" {
+		c.Response.Header.Set(outcome.HeaderRecorded, failure.Recorded)
+	}
 	c.Response.Header.SetContentType("application/json")
 	if failure.Status == http.StatusServiceUnavailable {
 		c.Response.Header.Set("Retry-After", retryAfterSeconds)
 	}
-	text, _ := json.Marshal(refusal{Outcome: failure.Outcome, Reason: failure.Reason, RequestID: id})
+	text, _ := json.Marshal(refusal{Outcome: failure.Outcome, Reason: failure.Reason, Recorded: failure.Recorded, RequestID: id})
 	c.Response.SetBody(append(text, '\n'))
 	if r != nil && !r.body.Whole() {
 		c.SetConnectionClose()
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
@@ -15,9 +16,12 @@
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
-// Inquirer asks an owner what became of an attempt.
+// Inquirer asks owners about attempts.
 type Inquirer interface {
+	// Inquire returns what became of an attempt. If the owner does not know it, it will never run it.
 	Inquire(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error)
+	// Withdraw returns the same, after taking the attempt out of the owner's queue if it was not dispatched yet.
+	Withdraw(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error)
 }
 
 // Hosts tells which hosts are leaving.
@@ -132,10 +136,10 @@
 	}
 }
 
-// ObserveState records an endpoint state that its owner announced.
-func (i *Ingress) ObserveState(service, endpoint string, state hop.State) {
+// ObserveLoad records a report that an owner announced.
+func (i *Ingress) ObserveLoad(service, endpoint string, load hop.Load) {
 	if v := i.view(service); v != nil {
-		v.observeState(endpoint, state)
+		v.observeLoad(endpoint, load)
 	}
 }
 
@@ -164,20 +168,24 @@
 	healthPeriod = 100 * time.Millisecond
 	// poolPeriod is the period of pings on idle connections, in health periods.
 	poolPeriod = 10
+	// pauseThreshold is the gap between two turns from which the process counts as paused.
+	pauseThreshold = time.Second
 )
 
 func (i *Ingress) tick(ctx context.Context) {
 	defer close(i.done)
 	ticker := time.NewTicker(healthPeriod)
 	defer ticker.Stop()
+	pauses := clock.NewPauseDetector(pauseThreshold)
 	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		paused := pauses.Observe(i.now()) > 0
 		for _, v := range i.allViews() {
-			v.tick()
+			v.tick(paused)
 		}
 		if turn%poolPeriod == 0 {
 			i.pools.maintain(time.Now())
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"agatepulley.example/agatepulley/pkg/hop"
@@ -26,6 +27,8 @@
 var (
 	errVoided = errors.New("the owner has not run the request and will not run it")
 	errSilent = errors.New("the answer was lost on a silent connection")
+	errRescue = errors.New("the endpoint became suspect")
+	errProbe  = errors.New("the probe was not answered in time")
 )
 
 // send makes one attempt: directly if this node owns the endpoint, over the inner hop otherwise.
@@ -45,23 +48,48 @@
 	request := &transport.Request{Head: relay.CopyRequest(r.head)}
 	r.body.Attach(request)
 	if p.entry.host.ID == i.options.Host {
-		request.Head.Header.Set(outcome.HeaderRequestID, r.id)
-		response, failure := i.options.Owner.Do(ctx, &owner.Request{Meta: meta, Transport: request})
-		if load, ok := i.options.Owner.Load(meta.Endpoint); ok {
-			v.observeLoad(meta.Endpoint, load)
-		}
-		return response, failure
+		return i.sendOwn(ctx, v, r, p, &meta, request)
 	}
 	meta.Write(&request.Head.Header)
 	return i.sendHop(ctx, v, r, p, &meta, request)
 }
 
+// sendOwn hands the request to the owner in this process.
+func (i *Ingress) sendOwn(ctx context.Context, v *view, r *request, p *pick, meta *hop.Meta, request *transport.Request) (*transport.Response, *outcome.Error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var decided atomic.Bool
+	i.prepareRescue(ctx, v, r, p, meta, func(cause error) {
+		if decided.CompareAndSwap(false, true) {
+			cancel(cause)
+		}
+	})
+	request.Head.Header.Set(outcome.HeaderRequestID, r.id)
+	own := &owner.Request{Meta: *meta, Transport: request}
+	response, failure := i.options.Owner.Do(ctx, own)
+	answered := decided.CompareAndSwap(false, true)
+	if load, ok := i.options.Owner.Load(meta.Endpoint); ok {
+		v.observeLoad(meta.Endpoint, load)
+	}
+	p.wait = own.Waited
+	switch {
+	case failure != nil:
+		cancel(nil)
+		return nil, failure
+	case !answered:
+		response.Close()
+		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonSuspect, stepSend, i.options.Host, context.Cause(ctx))
+	}
+	response.OnClose(func() { cancel(nil) })
+	return response, nil
+}
+
 func (i *Ingress) sendHop(ctx context.Context, v *view, r *request, p *pick, meta *hop.Meta, request *transport.Request) (*transport.Response, *outcome.Error) {
 	pool := i.pools.get(p.entry.host.HopAddress())
 	pending, err := pool.Send(ctx, request)
 	if err != nil {
 		return nil, i.lost(ctx, p, meta, err)
 	}
+	i.prepareRescue(ctx, v, r, p, meta, pending.Abort)
 	inquiry := i.inquireLater(ctx, v.slowAfter(r, p), p, meta, pending)
 	response, err := pending.Await()
 	inquiry.stop()
@@ -71,6 +99,41 @@
 	return i.interpret(v, p, meta, response)
 }
 
+// prepareRescue lets the attempt be ended early if its endpoint becomes suspect, or if it is a probe that stays without
+// an answer. A request that may not be repeated is ended only if its owner takes it out of its queue.
+func (i *Ingress) prepareRescue(ctx context.Context, v *view, r *request, p *pick, meta *hop.Meta, abort func(error)) {
+	if !r.body.Whole() {
+		return
+	}
+	v.onSuspicion(p, func() {
+		if r.route.Repeatable {
+			abort(errRescue)
+			return
+		}
+		i.withdraw(ctx, p, meta, abort)
+	})
+	if p.reason == reasonProbe {
+		timer := time.AfterFunc(v.probeLimit(r, p), func() {
+			if v.stillWaiting(p) {
+				abort(errProbe)
+			}
+		})
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	}
+}
+
+func (i *Ingress) withdraw(ctx context.Context, p *pick, meta *hop.Meta, abort func(error)) {
+	if i.options.Inquirer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
+	defer cancel()
+	state, err := i.options.Inquirer.Withdraw(ctx, p.entry.host, meta.Attempt)
+	if err == nil && state == owner.AttemptNotRun {
+		abort(errVoided)
+	}
+}
+
 // interpret tells an answer of the backend server from a refusal of the owner.
 func (i *Ingress) interpret(v *view, p *pick, meta *hop.Meta, response *transport.Response) (*transport.Response, *outcome.Error) {
 	header := &response.Head.Header
@@ -82,6 +145,7 @@
 		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonAnswerMismatch, stepSend, peer, nil)
 	}
 	if load, ok := hop.ParseLoad(header.Get(outcome.HeaderHopLoad)); ok {
+		p.wait = load.Wait
 		v.observeLoad(p.entry.id, load)
 	}
 	told := outcome.Outcome(header.Get(outcome.HeaderOutcome))
@@ -89,11 +153,12 @@
 		return response, nil
 	}
 	failure := &outcome.Error{
-		Outcome: told,
-		Reason:  outcome.Reason(header.Get(outcome.HeaderReason)),
-		Status:  response.Head.StatusCode(),
-		Step:    stepSend,
-		Peer:    peer,
+		Outcome:  told,
+		Reason:   outcome.Reason(header.Get(outcome.HeaderReason)),
+		Status:   response.Head.StatusCode(),
+		Step:     stepSend,
+		Peer:     peer,
+		Recorded: header.Get(outcome.HeaderRecorded),
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
 	response.Close()
@@ -118,6 +183,10 @@
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonSilent, stepInquire, peer, err)
 	case errors.Is(err, errSilent):
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSilent, stepInquire, peer, err)
+	case errors.Is(err, errRescue):
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSuspect, stepSend, peer, err)
+	case errors.Is(err, errProbe):
+		return outcome.Lose(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepSend, peer, err)
 	case errors.Is(err, transport.ErrBodySource):
 		return outcome.Lose(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, peer, err)
 	case transport.IsTimeout(err):
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -25,6 +25,9 @@
 	// minSlowAfter bounds from below the age at which a request counts as slow, so that inquiries and hedges stay rare
 	// in fast services.
 	minSlowAfter = 50 * time.Millisecond
+	// A request is slow once it lasts slowFactor times as long as all but slowShare of the requests do.
+	slowFactor = 3
+	slowShare  = 0.01
 	// unknownSlowAfter is used until the service times are known.
 	unknownSlowAfter = time.Second
 	// maxCandidatesLogged bounds the candidates named in a decision.
@@ -40,6 +43,8 @@
 	inFlight int
 	load     hop.Load
 	loadAt   time.Duration
+	// waiting holds the attempts whose answer has not begun.
+	waiting map[*pick]struct{}
 }
 
 // view is the state of one service's endpoints as seen from this ingress. It is safe for concurrent use.
@@ -99,7 +104,7 @@
 		endpoint := &service.Endpoints[n]
 		e := v.byID[endpoint.ID]
 		if e == nil {
-			e = &entry{id: endpoint.ID}
+			e = &entry{id: endpoint.ID, waiting: make(map[*pick]struct{})}
 		}
 		e.host = snapshot.Host(endpoint.Host)
 		e.slots = endpoint.Slots
@@ -155,9 +160,12 @@
 }
 
 // tick lets the detector judge requests that are still open.
-func (v *view) tick() {
+func (v *view) tick(paused bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if paused {
+		v.detector.Resume(v.now())
+	}
 	v.apply(v.detector.Tick(v.now()))
 	for _, e := range v.entries {
 		if e.load.State == hop.StateDown || e.load.State == hop.StateLeaving {
@@ -166,18 +174,7 @@
 	}
 }
 
-// observeState records a state that the owner announced.
-func (v *view) observeState(endpoint string, state hop.State) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if e := v.byID[endpoint]; e != nil {
-		e.load.State = state
-		e.loadAt = v.now()
-		v.updateAvailability(e)
-	}
-}
-
-// observeLoad records the report that came with an owner's answer.
+// observeLoad records a report of an endpoint's owner.
 func (v *view) observeLoad(endpoint string, load hop.Load) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -188,6 +185,7 @@
 	e.load = load
 	e.loadAt = v.now()
 	v.updateAvailability(e)
+	v.apply(v.detector.Report(v.now(), endpoint, load.Score))
 }
 
 // pick is a chosen endpoint.
@@ -196,8 +194,14 @@
 	token  uint64
 	begin  time.Duration
 	reason string
+	// wait is the time for which the request waited in the owner's queue, as the owner reported it.
+	wait time.Duration
+	// rescue is called when the endpoint becomes suspect while the attempt waits for its answer.
+	rescue func()
 }
 
+const reasonProbe = "probe"
+
 // choose takes an endpoint for an attempt and counts the attempt as begun. It returns nil if there is none.
 func (v *view) choose(r *request, tried map[string]bool, only string) *pick {
 	v.mu.Lock()
@@ -218,9 +222,9 @@
 	if only != "" {
 		return v.usable(only, tried), "suspect-request"
 	}
-	if r.route.Repeatable && len(tried) == 0 {
+	if r.route.Repeatable && !r.long && len(tried) == 0 {
 		if id, due := v.detector.NextProbe(v.now()); due {
-			return v.byID[id], "probe"
+			return v.byID[id], reasonProbe
 		}
 	}
 	source := balance.Source{Local: v.local, Total: len(v.entries), At: func(n int) balance.Candidate { return v.candidate(n, tried) }}
@@ -279,7 +283,36 @@
 
 func (v *view) end(p *pick, kind health.Kind) {
 	now := v.now()
-	v.apply(v.detector.End(now, p.entry.id, p.token, kind, now-p.begin))
+	delete(p.entry.waiting, p)
+	v.apply(v.detector.End(now, p.entry.id, p.token, kind, now-p.begin-p.wait))
+}
+
+// onSuspicion registers what to do if the endpoint becomes suspect before the answer begins.
+func (v *view) onSuspicion(p *pick, rescue func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p.rescue = rescue
+	p.entry.waiting[p] = struct{}{}
+}
+
+// stillWaiting reports whether the answer of an attempt has not begun.
+func (v *view) stillWaiting(p *pick) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, waiting := p.entry.waiting[p]
+	return waiting
+}
+
+// rescue lets the requests that wait for an endpoint be placed elsewhere. The caller holds the lock.
+func (v *view) rescue(endpoint string) {
+	e := v.byID[endpoint]
+	if e == nil {
+		return
+	}
+	for p := range e.waiting {
+		delete(e.waiting, p)
+		go p.rescue()
+	}
 }
 
 // cut records that the body of an answer was cut off.
@@ -303,13 +336,20 @@
 func (v *view) slowAfter(r *request, p *pick) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	slow := v.detector.SlowAfter(p.entry.host.Zone, r.long)
+	slow := slowFactor * v.detector.TotalQuantile(p.entry.host.Zone, r.long, slowShare)
 	if slow == 0 {
 		return unknownSlowAfter
 	}
 	return max(slow, minSlowAfter)
 }
 
+// probeLimit returns the time after which an unanswered probe is sent elsewhere.
+func (v *view) probeLimit(r *request, p *pick) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(v.detector.TotalQuantile(p.entry.host.Zone, r.long, slowShare), minSlowAfter)
+}
+
 // mayRetry takes a retry from the budget if the latest attempt allows one.
 func (v *view) mayRetry(a retry.Attempt) (bool, retry.Reason) {
 	v.mu.Lock()
@@ -344,6 +384,9 @@
 			Step: stepHealth, Service: v.name, Taken: t.Endpoint,
 			Outcome: fmt.Sprintf("%s to %s, score %.1f", t.From, t.To, t.Score), Reason: t.Reason,
 		})
+		if t.To == health.Suspect || t.To == health.Ejected {
+			v.rescue(t.Endpoint)
+		}
 		switch {
 		case t.To == health.Ejected:
 			v.ingress.options.Metrics.Ejected(v.name)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/qmuntal/stateless"
 
 	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/configstore"
@@ -30,6 +31,7 @@
 	serviceTelemetry = "telemetry.metrics"
 	serviceStore     = "config.store"
 	servicePeers     = "peer.network"
+	serviceClaims    = "claims.recorder"
 	serviceOwner     = "owner"
 	serviceIngress   = "ingress"
 	serviceHopServer = "server.hop"
@@ -55,6 +57,7 @@
 	store     *configstore.Store
 	hosts     *fleet.Hosts
 	peers     *peer.Service
+	claims    *claims.Service
 	owner     *owner.Owner
 	ingress   *ingress.Ingress
 	hops      *httpserver.Server
@@ -82,6 +85,7 @@
 	}
 	n.hosts = fleet.New(s.HostID, n.hostsChanged)
 	n.peers = n.newPeers()
+	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
 	n.hops = httpserver.New(s.HopListen, n.owner.ServeHop)
@@ -112,11 +116,23 @@
 	})
 }
 
+func (n *Node) newClaims() *claims.Service {
+	return claims.New(claims.Options{
+		HostID:      n.settings.HostID,
+		Incarnation: n.incarnation,
+		Network:     n.peers,
+		Current:     n.store.Current,
+		Clock:       n.clock,
+		Logger:      n.logger,
+	})
+}
+
 func (n *Node) newOwner() *owner.Owner {
 	return owner.New(owner.Options{
 		Host:        n.settings.HostID,
 		Incarnation: n.incarnation,
 		Backends:    backends(n.settings),
+		Claims:      &claimer{service: n.claims, clock: n.clock, metrics: n.telemetry.Metrics()},
 		Decisions:   n.decisions,
 		Clock:       n.clock,
 	})
@@ -129,7 +145,7 @@
 		Config:    n.store.Current,
 		Owner:     n.owner,
 		Hosts:     n.hosts,
-		Inquirer:  &inquirer{network: n.peers},
+		Inquirer:  &inquirer{host: n.settings.HostID, own: n.owner, network: n.peers},
 		Decisions: n.decisions,
 		Metrics:   n.telemetry.Metrics(),
 		Logger:    n.logger,
@@ -146,6 +162,7 @@
 		{serviceAdmin, n.admin},
 		{serviceStore, n.store},
 		{servicePeers, n.peers},
+		{serviceClaims, n.claims},
 		{serviceOwner, n.owner},
 		{serviceIngress, n.ingress},
 		{serviceHopServer, n.hops},
@@ -161,7 +178,6 @@
 
 // Run starts the node, serves until the context ends, and then stops without cutting requests.
 func (n *Node) Run(ctx context.Context) error {
-	telemetry.RedirectHertzLog(n.logger)
 	n.store.Subscribe(n.adopted)
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -56,6 +56,7 @@
 	ReasonStalePause      Reason = "stale-after-pause"
 	ReasonAnswerMismatch  Reason = "answer-mismatch"
 	ReasonUnknownEndpoint Reason = "unknown-endpoint"
+	ReasonSuspect         Reason = "endpoint-suspect"
 )
 
 // Headers between callers, nodes and backend servers. The proxy removes Outcome, Reason and the Hop headers from
@@ -67,6 +68,8 @@
 	HeaderDeadline  = "Agatepulley-Deadline-Ms"
 	HeaderWorkspace = "Agatepulley-Workspace"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderRecorded tells the sender of a duplicate what is recorded of the attempt that holds the key.
+	HeaderRecorded = "Agatepulley-Recorded"
 
 	HopPrefix            = "Agatepulley-Hop-"
 	HeaderHopService     = HopPrefix + "Service"
@@ -87,7 +90,9 @@
 	Status  int
 	Step    string
 	Peer    string
-	Err     error
+	// Recorded describes the attempt that holds the key of a duplicate: "pending", or "completed" with the status.
+	Recorded string
+	Err      error
 }
 
 // Error implements the error interface.
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -9,14 +9,18 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/admission"
+	"agatepulley.example/agatepulley/core/health"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
-// errRefusedInQueue tells a waiting request that the queue dropped it.
-var errRefusedInQueue = errors.New("dropped from the queue")
+// Errors that tell a waiting request why it will not run.
+var (
+	errRefusedInQueue = errors.New("dropped from the queue")
+	errWithdrawn      = errors.New("withdrawn by its ingress")
+)
 
 // endpoint is one backend server with its slots and its queue.
 type endpoint struct {
@@ -27,10 +31,13 @@
 	life    *lifecycle
 	probing atomic.Bool
 
-	mu      sync.Mutex
-	slots   int
-	queue   *admission.Queue
-	waiting map[string]chan error
+	mu        sync.Mutex
+	slots     int
+	queue     *admission.Queue
+	waiting   map[string]chan error
+	detector  *health.Detector
+	nextToken uint64
+	stalled   bool
 }
 
 func newEndpoint(o *Owner, ref config.EndpointRef, address string) *endpoint {
@@ -41,7 +48,7 @@
 		pool:    transport.NewPool(address, backendPoolOptions(), &o.stats),
 		waiting: make(map[string]chan error),
 	}
-	e.life = newLifecycle(func(state hop.State) { o.notify(ref.ID, state) })
+	e.life = newLifecycle(func(hop.State) { o.notify(ref.ID, e.load()) })
 	return e
 }
 
@@ -68,6 +75,8 @@
 		e.queue.Resize(e.effectiveSlots())
 		return
 	}
+	e.detector = health.NewDetector(ref.Service.Name, health.Settings{})
+	e.detector.SetEndpoints(e.owner.now(), []health.Endpoint{{ID: e.id, Slots: ref.Slots}}, fullFloor)
 	e.queue = admission.New(admission.Settings{
 		Slots:       ref.Slots,
 		QueueLimit:  ref.Slots * ref.Service.Admission.QueuePerSlot,
@@ -80,9 +89,13 @@
 	e.pool.Close()
 }
 
+// fullFloor keeps the owner's detector from ejecting its only endpoint; the owner only publishes the score.
+const fullFloor = 100
+
 func (e *endpoint) load() hop.Load {
 	e.mu.Lock()
 	load := e.queue.Load()
+	score := e.detector.StallScore(e.owner.now(), e.id)
 	e.mu.Unlock()
 	state := e.life.state()
 	if e.owner.Leaving() {
@@ -94,6 +107,7 @@
 		Queued:      load.Queued,
 		Slots:       load.Slots,
 		Incarnation: e.owner.options.Incarnation,
+		Score:       score,
 	}
 }
 
@@ -103,10 +117,12 @@
 	if failure != nil {
 		return nil, failure
 	}
+	offered := e.owner.now()
 	if failure := e.admit(ctx, r, alone); failure != nil {
 		return nil, failure
 	}
 	admitted := e.owner.now()
+	r.Waited = admitted - offered
 	free := func() { e.done(r.Attempt, e.owner.now()-admitted) }
 	claim, failure := e.claim(ctx, r)
 	if failure != nil {
@@ -149,6 +165,9 @@
 	}
 	select {
 	case err := <-granted:
+		if errors.Is(err, errWithdrawn) {
+			return e.owner.refuse(r, stepAdmit, outcome.ReasonVoided, err)
+		}
 		if err != nil {
 			return e.owner.refuse(r, stepAdmit, outcome.ReasonDeadline, err)
 		}
@@ -198,6 +217,17 @@
 	return e.owner.refuse(r, stepAdmit, reason, context.Cause(ctx))
 }
 
+// cancel drops a queued request and reports whether it was queued.
+func (e *endpoint) cancel(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.queue.Cancel(attempt) {
+		return false
+	}
+	e.tell(attempt, errWithdrawn)
+	return true
+}
+
 // done frees the slot of a request and lets the next ones run.
 func (e *endpoint) done(attempt string, serviceTime time.Duration) {
 	e.mu.Lock()
@@ -263,6 +293,17 @@
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStalePause, nil)
 	}
 	e.owner.registry.set(r.Attempt, AttemptRunning)
+	token := e.beginWork(r)
+	response, failure := e.exchange(ctx, r)
+	e.endWork(token, failure)
+	if failure == nil {
+		e.owner.registry.set(r.Attempt, AttemptAnswered)
+		e.succeeded(r)
+	}
+	return response, failure
+}
+
+func (e *endpoint) exchange(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
 	pending, err := e.pool.Send(ctx, r.Transport)
 	if err != nil {
 		return nil, e.lost(ctx, r, err)
@@ -271,11 +312,43 @@
 	if err != nil {
 		return nil, e.lost(ctx, r, err)
 	}
-	e.owner.registry.set(r.Attempt, AttemptAnswered)
-	e.succeeded(r)
 	return response, nil
 }
 
+// work is a request that the detector watches.
+type work struct {
+	token uint64
+	begin time.Duration
+}
+
+func (e *endpoint) beginWork(r *Request) work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextToken++
+	w := work{token: e.nextToken, begin: e.owner.now()}
+	e.detector.Begin(w.begin, e.id, w.token, r.Long)
+	return w
+}
+
+// endWork records how a request ended. One that was cancelled after a while counts as unanswered, since callers cancel
+// what stalls.
+func (e *endpoint) endWork(w work, failure *outcome.Error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.owner.now()
+	kind := health.Success
+	switch {
+	case failure == nil:
+	case failure.Outcome == outcome.NotRun:
+		kind = health.Neutral
+	case failure.Reason == outcome.ReasonDeadline, failure.Reason == outcome.ReasonCancelled:
+		kind = health.Timeout
+	default:
+		kind = health.Failure
+	}
+	e.detector.End(now, e.id, w.token, kind, now-w.begin)
+}
+
 // expired reports whether the request's time is over. After a pause of the process the context's timer may not have
 // fired yet, so the deadline is compared with the clock.
 func expired(ctx context.Context) bool {
--- a/pkg/owner/lifecycle.go
+++ b/pkg/owner/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"github.com/qmuntal/stateless"
 
+	"agatepulley.example/agatepulley/core/health"
 	"agatepulley.example/agatepulley/pkg/hop"
 )
 
@@ -122,23 +123,37 @@
 
 func (o *Owner) turn() {
 	if o.paused() {
+		o.resumeDetectors()
 		o.Hold()
 	}
 	o.lastTurn.Store(int64(o.now()))
+	for _, e := range o.list() {
+		e.maintain()
+	}
+}
+
+// resumeDetectors keeps a pause of the process from counting as time for which backend servers did not answer.
+func (o *Owner) resumeDetectors() {
+	for _, e := range o.list() {
+		e.mu.Lock()
+		e.detector.Resume(o.now())
+		e.mu.Unlock()
+	}
+}
+
+func (o *Owner) list() []*endpoint {
 	o.mu.RLock()
+	defer o.mu.RUnlock()
 	endpoints := make([]*endpoint, 0, len(o.endpoints))
 	for _, e := range o.endpoints {
 		endpoints = append(endpoints, e)
 	}
-	o.mu.RUnlock()
-	for _, e := range endpoints {
-		e.maintain()
-	}
+	return endpoints
 }
 
-func (o *Owner) notify(endpoint string, state hop.State) {
-	if o.options.StateChanged != nil {
-		o.options.StateChanged(endpoint, state)
+func (o *Owner) notify(endpoint string, load hop.Load) {
+	if o.options.LoadChanged != nil {
+		o.options.LoadChanged(endpoint, load)
 	}
 }
 
@@ -151,10 +166,23 @@
 		e.life.warm()
 	}
 	e.pool.Maintain(time.Now())
+	if e.judge() {
+		e.owner.notify(e.id, e.load())
+	}
+}
+
+// judge lets the detector judge the open requests, fits the slots to the result, and reports whether the endpoint
+// stalls or has just stopped to stall, which the other nodes must learn.
+func (e *endpoint) judge() (news bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.owner.now()
+	e.detector.Tick(now)
+	before := e.stalled
+	e.stalled = e.detector.StallScore(now, e.id) >= health.DefaultStallScore
 	e.queue.Resize(e.effectiveSlots())
-	e.advance(e.owner.now())
+	e.advance(now)
+	return e.stalled || before
 }
 
 // probe tries to connect to a backend server that is down, apart from the watch, which must not be delayed.
@@ -170,9 +198,12 @@
 	}()
 }
 
-// effectiveSlots is the number of slots in use while the backend server is cold: one at first, all at the end of the
-// ramp. The caller holds the lock.
+// effectiveSlots is the number of slots in use: while the backend server is cold one at first and all at the end of the
+// ramp, and one while it has stopped answering. The caller holds the lock.
 func (e *endpoint) effectiveSlots() int {
+	if e.detector.Stalled(e.owner.now(), e.id) {
+		return 1
+	}
 	return 1 + int(float64(e.slots-1)*e.life.warmth())
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -64,14 +64,16 @@
 	Decisions  *decision.Recorder
 	// Clock detects pauses of the process.
 	Clock clock.Clock
-	// StateChanged is told of each change of an endpoint's state.
-	StateChanged func(endpoint string, state hop.State)
+	// LoadChanged is told of each change of an endpoint's state, and of its load as long as it stalls.
+	LoadChanged func(endpoint string, load hop.Load)
 }
 
 // Request is one attempt to run a request on an endpoint.
 type Request struct {
 	hop.Meta
 	Transport *transport.Request
+	// Waited is set to the time for which the request waited for a slot.
+	Waited time.Duration
 }
 
 // Owner runs requests on the endpoints of its host. It is safe for concurrent use.
@@ -203,6 +205,19 @@
 	return e.load(), true
 }
 
+// Withdraw takes an attempt out of the queue if it was not dispatched yet, and returns what became of it.
+func (o *Owner) Withdraw(attempt string) AttemptState {
+	if o.registry.inquire(attempt) != AttemptQueued {
+		return o.registry.inquire(attempt)
+	}
+	for _, e := range o.list() {
+		if e.cancel(attempt) {
+			return AttemptNotRun
+		}
+	}
+	return o.registry.inquire(attempt)
+}
+
 // Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
 // frees the slot.
 func (o *Owner) Do(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -49,7 +49,7 @@
 	defer relay.WatchDisconnect(c, body)()
 	request := &Request{Meta: *meta, Transport: BackendRequest(c, body, meta)}
 	response, failure := o.Do(ctx, request)
-	o.report(c, meta.Endpoint)
+	o.report(c, request)
 	if failure != nil {
 		if !body.Whole() {
 			c.SetConnectionClose()
@@ -60,7 +60,7 @@
 	defer response.Close()
 	relay.CopyResponseHead(&c.Response, response.Head)
 	echo(c, meta)
-	o.report(c, meta.Endpoint)
+	o.report(c, request)
 	c.Response.Header.Set(outcome.HeaderOutcome, string(outcome.Answered))
 	if err := relay.WriteResponse(c, response); err != nil {
 		o.recordCut(request, err)
@@ -81,8 +81,9 @@
 	c.Response.Header.Set(outcome.HeaderHopAttempt, meta.Attempt)
 }
 
-func (o *Owner) report(c *app.RequestContext, endpoint string) {
-	if load, ok := o.Load(endpoint); ok {
+func (o *Owner) report(c *app.RequestContext, r *Request) {
+	if load, ok := o.Load(r.Endpoint); ok {
+		load.Wait = r.Waited
 		c.Response.Header.Set(outcome.HeaderHopLoad, load.String())
 	}
 }
@@ -91,6 +92,9 @@
 	c.Response.SetStatusCode(failure.Status)
 	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
 	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
+	if failure.Recorded != "" {
+		c.Response.Header.Set(outcome.HeaderRecorded, failure.Recorded)
+	}
 }
 
 func (o *Owner) recordCut(r *Request, err error) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -62,6 +62,13 @@
 	"content-length": true, "expect": true,
 }
 
+// ownFields may be set by nodes only: a backend server must not be able to say that a request was not run.
+var ownFields = map[string]bool{
+	strings.ToLower(outcome.HeaderOutcome):  true,
+	strings.ToLower(outcome.HeaderReason):   true,
+	strings.ToLower(outcome.HeaderRecorded): true,
+}
+
 // keepField reports whether a header field is passed on.
 func keepField(name string) bool {
 	lower := strings.ToLower(name)
@@ -71,7 +78,7 @@
 	if strings.HasPrefix(lower, strings.ToLower(outcome.HopPrefix)) {
 		return false
 	}
-	return lower != strings.ToLower(outcome.HeaderOutcome) && lower != strings.ToLower(outcome.HeaderReason)
+	return !ownFields[lower]
 }
 
 // RequestHead returns a new head with the method, the target and the passed-on fields of src.
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -40,8 +40,9 @@
 	sent   atomic.Bool
 	stop   func() bool
 
-	mu    sync.Mutex
-	cause error
+	mu       sync.Mutex
+	cause    error
+	answered bool
 }
 
 func newPending(ctx context.Context, pool *Pool, c *conn, request *Request) *Pending {
@@ -50,16 +51,32 @@
 	return p
 }
 
-// Abort closes the connection and makes Await or the response body fail with cause.
+// Abort closes the connection and makes Await fail with cause. It has no effect once the head of the response has
+// arrived, so that a decision to try elsewhere never cuts an answer off.
 func (p *Pending) Abort(cause error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.answered {
+		p.abort(cause)
+	}
+}
+
+// abort closes the connection. The caller holds the lock.
+func (p *Pending) abort(cause error) {
 	if p.cause == nil {
 		p.cause = cause
 	}
-	p.mu.Unlock()
 	p.conn.close()
 }
 
+// markAnswered records that the head has arrived. It returns false if the exchange was aborted before.
+func (p *Pending) markAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = p.cause == nil
+	return p.answered
+}
+
 // Received returns the number of bytes that have arrived on the connection since it was opened.
 func (p *Pending) Received() int64 {
 	return p.conn.received.Load()
@@ -68,7 +85,8 @@
 // Await reads the head of the response.
 func (p *Pending) Await() (*Response, error) {
 	head := &protocol.Response{}
-	if err := p.readHead(head); err != nil {
+	err := p.readHead(head)
+	if err != nil || !p.markAnswered() {
 		p.abandon()
 		return nil, p.fail(StepRead, err)
 	}
@@ -157,9 +175,9 @@
 
 // Abort closes the connection and makes the body fail with cause.
 func (r *Response) Abort(cause error) {
-	if r.pending != nil {
-		r.pending.Abort(cause)
-	}
+	r.pending.mu.Lock()
+	defer r.pending.mu.Unlock()
+	r.pending.abort(cause)
 }
 
 // Close returns the connection to its pool if the body was read to its end and closes it otherwise.
@@ -168,9 +186,7 @@
 		return
 	}
 	r.closed = true
-	if r.pending != nil {
-		r.releaseConn()
-	}
+	r.releaseConn()
 	for _, f := range r.onClose {
 		f()
 	}
