Add faulty links before the owners of a fleet of processes

Lost directions and silent connections between nodes are the faults that the inquiry and the pings of the inner hop are for. The document names the link's port, so that nodes need no change.

--- a/bench/processes/fleet.go
+++ b/bench/processes/fleet.go
@@ -37,6 +37,7 @@
 	HostList      *PlatformProcess
 	Nodes         map[string]*NodeProcess
 	Backends      map[string]*BackendProcess
+	Links         map[string]*LinkProcess
 }
 
 // PlatformProcess is the configuration service or the host list.
@@ -50,10 +51,17 @@
 	*Process
 	Host    string
 	Callers string
+	Hops    string
 	Peers   string
 	Admin   string
 }
 
+// LinkProcess is a faulty link before the inner-hop listener of a node.
+type LinkProcess struct {
+	*Process
+	Admin string
+}
+
 // BackendProcess is the backend server of an endpoint.
 type BackendProcess struct {
 	*Process
@@ -74,6 +82,7 @@
 		client:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{}},
 		Nodes:    make(map[string]*NodeProcess),
 		Backends: make(map[string]*BackendProcess),
+		Links:    make(map[string]*LinkProcess),
 	}
 	for i := range document.Hosts {
 		if err := f.place(&document.Hosts[i]); err != nil {
@@ -98,11 +107,39 @@
 	host.Address = Loopback
 	host.IngressPort, host.HopPort, host.PeerPort = ports[0], ports[1], ports[2]
 	f.Nodes[host.ID] = &NodeProcess{
-		Host: host.ID, Callers: Address(ports[0]), Peers: Address(ports[2]), Admin: Address(ports[3]),
+		Host: host.ID, Callers: Address(ports[0]), Hops: Address(ports[1]), Peers: Address(ports[2]), Admin: Address(ports[3]),
 	}
 	return nil
 }
 
+// StartLink puts a faulty link before the inner-hop listener of a host. It must be called before the document is
+// published, because the document then names the link's port.
+func (f *Fleet) StartLink(host string) error {
+	ports, err := FreePorts(2)
+	if err != nil {
+		return err
+	}
+	args := []string{"--listen", Address(ports[0]), "--to", f.Nodes[host].Hops, "--admin", Address(ports[1])}
+	process, err := f.group.Start("link-"+host, f.binaries.Path(Link), args...)
+	if err != nil {
+		return err
+	}
+	f.host(host).HopPort = ports[0]
+	f.Links[host] = &LinkProcess{Process: process, Admin: Address(ports[1])}
+	return nil
+}
+
+// SetConditions changes conditions of the link before a host. Those that the JSON object does not name keep their
+// values.
+func (f *Fleet) SetConditions(ctx context.Context, host, conditions string) error {
+	return f.call(ctx, http.MethodPost, f.Links[host].Admin, "/conditions", []byte(conditions), nil)
+}
+
+// Silence makes the connections through the link before a host silent for good.
+func (f *Fleet) Silence(ctx context.Context, host string) error {
+	return f.call(ctx, http.MethodPost, f.Links[host].Admin, "/silence", nil, nil)
+}
+
 func (f *Fleet) placeBackend(endpoint string) error {
 	ports, err := FreePorts(2)
 	if err != nil {
@@ -205,7 +242,7 @@
 	h := f.host(host)
 	all := []string{
 		"--host-id", host, "--zone", h.Zone,
-		"--listen", n.Callers, "--hop-listen", Address(h.HopPort), "--peer-listen", n.Peers, "--admin-listen", n.Admin,
+		"--listen", n.Callers, "--hop-listen", n.Hops, "--peer-listen", n.Peers, "--admin-listen", n.Admin,
 		"--config-service", f.ConfigService.Address, "--host-list", f.HostList.Address,
 	}
 	for _, other := range f.Hosts() {
--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -31,7 +31,9 @@
 	// Hosts are the hosts whose nodes are started before the load; empty means all.
 	Hosts []string
 	// Targets are the hosts that callers use; empty means the same as Hosts.
-	Targets  []string
+	Targets []string
+	// Links are the hosts whose inner-hop listener is reached through a faulty link.
+	Links    []string
 	Mix      []load.Kind
 	Rate     float64
 	Duration time.Duration
@@ -81,6 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, host := range s.Links {
+		if err := fleet.StartLink(host); err != nil {
+			return nil, errors.Join(err, fleet.Close())
+		}
+	}
 	outcome, err := play(ctx, s, fleet, out)
 	return outcome, errors.Join(err, fleet.Close())
 }
--- a/bench/scenario/variants.go
+++ b/bench/scenario/variants.go
@@ -10,7 +10,7 @@
 // Scenarios returns all scenarios, the demo first.
 func Scenarios() []*Scenario {
 	return []*Scenario{
-		demo(), serviceDown(), frozenNode(),
+		demo(), serviceDown(), frozenNode(), faultyLinks(),
 		killed("kill-ingress", "the node that callers use is killed during keyed requests", killIngress),
 		killed("kill-owner", "the node that owns an endpoint is killed during keyed requests", killOwner),
 		killed("kill-both", "a node that callers use and an owner are killed during keyed requests", killBoth),
@@ -143,6 +143,41 @@
 	return nil
 }
 
+func faultyLinks() *Scenario {
+	return &Scenario{
+		Name:        "faulty-links",
+		Description: "responses of one owner are lost, then requests to another, then connections fall silent",
+		Links:       []string{"h2", "h3"},
+		Mix:         Mix(),
+		Rate:        100,
+		Duration:    11 * time.Second,
+		Faults:      faultyLinksFaults,
+	}
+}
+
+func faultyLinksFaults(ctx context.Context, r *Run) error {
+	steps := []struct {
+		host, conditions string
+	}{
+		{"h2", `{"lose":"to-client"}`}, {"h2", `{"lose":""}`},
+		{"h3", `{"lose":"to-server"}`}, {"h3", `{"lose":""}`},
+	}
+	for _, step := range steps {
+		if err := r.Wait(ctx, 2*time.Second); err != nil {
+			return err
+		}
+		r.Log("link before %s: %s", step.host, step.conditions)
+		if err := r.Fleet.SetConditions(ctx, step.host, step.conditions); err != nil {
+			return err
+		}
+	}
+	if err := r.Wait(ctx, time.Second); err != nil {
+		return err
+	}
+	r.Log("connections through the links before h2 and h3 fall silent")
+	return errors.Join(r.Fleet.Silence(ctx, "h2"), r.Fleet.Silence(ctx, "h3"))
+}
+
 func killed(name, description string, faults func(context.Context, *Run) error) *Scenario {
 	return &Scenario{
 		Name:        name,
