--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -34,15 +35,18 @@
 // transfer encoding, several content lengths, and transfer encodings other than chunked.
 func CheckFraming(h *protocol.RequestHeader) error {
 	lengths, encodings := 0, 0
-	for _, line := range strings.Split(string(h.RawHeaders()), "\r\n") {
-		name, value, _ := strings.Cut(line, ":")
+	rest := h.RawHeaders()
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
-		case strings.EqualFold(name, "Content-Length"):
+		case bytes.EqualFold(name, []byte("Content-Length")):
 			lengths++
-		case strings.EqualFold(name, "Transfer-Encoding"):
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			encodings++
-			if !strings.EqualFold(strings.TrimSpace(value), "chunked") {
-				return fmt.Errorf("%w: transfer encoding %q", ErrFraming, strings.TrimSpace(value))
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return fmt.Errorf("%w: transfer encoding %q", ErrFraming, bytes.TrimSpace(value))
 			}
 		}
 	}
@@ -58,6 +62,13 @@
 	"content-length": true, "expect": true,
 }
 
+// ownFields may be set by nodes only: a backend server must not be able to say that a request was not run.
+var ownFields = map[string]bool{
+	strings.ToLower(outcome.HeaderOutcome):  true,
+	strings.ToLower(outcome.HeaderReason):   true,
+	strings.ToLower(outcome.HeaderRecorded): true,
+}
+
 // keepField reports whether a header field is passed on.
 func keepField(name string) bool {
 	lower := strings.ToLower(name)
@@ -67,7 +78,7 @@
 	if strings.HasPrefix(lower, strings.ToLower(outcome.HopPrefix)) {
 		return false
 	}
-	return lower != strings.ToLower(outcome.HeaderOutcome) && lower != strings.ToLower(outcome.HeaderReason)
+	return !ownFields[lower]
 }
 
 // RequestHead returns a new head with the method, the target and the passed-on fields of src.
@@ -252,9 +263,13 @@
 
 const copyBufferBytes = 32 << 10
 
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
 // stream copies a body and flushes after each read, so that the caller sees bytes as they arrive.
 func stream(w *responseWriter, body io.Reader) error {
-	buffer := make([]byte, copyBufferBytes)
+	pooled := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
