--- a/bench/configmem/main.go
+++ b/bench/configmem/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"runtime"
@@ -53,7 +54,11 @@
 		return err
 	}
 	fmt.Println()
-	return printWhole(o)
+	if err := printWhole(o); err != nil {
+		return err
+	}
+	fmt.Println()
+	return printTransfer(o)
 }
 
 // printSlopes varies one kind of entry at a time and prints the heap bytes per entry of that kind.
@@ -113,6 +118,62 @@
 	return nil
 }
 
+// printTransfer compares the two ways in which a node gets a new version at full size: the delta and the whole document.
+func printTransfer(o options) error {
+	base, err := config.Load(generate(fullSize))
+	if err != nil {
+		return err
+	}
+	fmt.Println("| changed entries | delta bytes | compressed | make | apply | whole bytes | compressed | parse |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, changes := range []int{1, 10, 100, 1000, 10_000, 100_000, 320_000} {
+		document := generate(fullSize)
+		document.Version.Sequence = 2
+		for i := range changes {
+			document.Workspaces[i*(fullSize.workspaces/changes)].MaxInFlight = 99
+		}
+		next, err := config.Load(document)
+		if err != nil {
+			return err
+		}
+		if err := printTransferLine(o, changes, base, next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printTransferLine(o options, changes int, base, next *config.Snapshot) error {
+	var delta *config.Delta
+	takeDelta := o.shortest(func() error { delta = config.NewDelta(base, next); return nil })
+	text, err := json.Marshal(delta)
+	if err != nil {
+		return err
+	}
+	packed, err := config.Compress(text)
+	if err != nil {
+		return err
+	}
+	apply := o.shortest(func() error { _, err := config.Apply(base, delta); return err })
+	whole, err := config.Canonical(next.Document())
+	if err != nil {
+		return err
+	}
+	parse := o.shortest(func() error { _, err := config.Parse(whole); return err })
+	total := 0
+	_, pieces := config.Split(next.Version(), whole)
+	for _, piece := range pieces {
+		data, err := config.Compress(piece.Data)
+		if err != nil {
+			return err
+		}
+		total += len(data)
+	}
+	fmt.Printf("| %d | %d | %d | %v | %v | %d | %d in %d pieces | %v |\n", changes, len(text), len(packed), takeDelta, apply,
+		len(whole), total, len(pieces), parse)
+	return nil
+}
+
 // shortest returns the shortest time of several runs. A failure ends the program, because the step must succeed on a
 // generated document.
 func (o options) shortest(step func() error) time.Duration {
