--- a/bench/configmem/main.go
+++ b/bench/configmem/main.go
@@ -5,18 +5,22 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/configstore"
 )
 
 type options struct {
-	Repeat int `long:"repeat" description:"number of runs of each timed step; the shortest counts" default:"3"`
+	Repeat int    `long:"repeat" description:"number of runs of each timed step; the shortest counts" default:"3"`
+	Peak   string `long:"peak" description:"measure the largest resident size while versions are adopted in this way" choice:"delta" choice:"text"`
 }
 
 // size is the number of entries of a document.
@@ -49,6 +53,9 @@
 }
 
 func run(o options) error {
+	if o.Peak != "" {
+		return printPeak(o.Peak)
+	}
 	fmt.Printf("%s %s/%s, %d processors\n\n", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
 	if err := printSlopes(); err != nil {
 		return err
@@ -175,6 +182,103 @@
 	return nil
 }
 
+// adoptions is the number of versions adopted for the peak.
+const adoptions = 5
+
+// printPeak adopts versions at full size in a store and prints the largest resident size of the process. The documents
+// come from files, so that making them does not count.
+func printPeak(way string) error {
+	directory, err := os.MkdirTemp("", "configmem")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(directory)
+	if err := writeVersions(directory); err != nil {
+		return err
+	}
+	debug.FreeOSMemory()
+	// A write of 5 resets the peak of the resident size.
+	if err := os.WriteFile("/proc/self/clear_refs", []byte("5"), 0); err != nil {
+		return err
+	}
+	store := configstore.New(slog.New(slog.DiscardHandler))
+	for i := range adoptions {
+		if err := adopt(store, directory, i, way); err != nil {
+			return err
+		}
+	}
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d versions adopted by %s, GOMEMLIMIT %q\n", adoptions, way, os.Getenv("GOMEMLIMIT"))
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "VmHWM") {
+			fmt.Print(line)
+		}
+	}
+	fmt.Println("live heap bytes:", liveHeap())
+	runtime.KeepAlive(store)
+	return nil
+}
+
+func adopt(store *configstore.Store, directory string, i int, way string) error {
+	name := "text"
+	if i > 0 {
+		name = way
+	}
+	data, err := os.ReadFile(fmt.Sprintf("%s/%d.%s", directory, i, name))
+	if err != nil {
+		return err
+	}
+	if name == "text" {
+		_, err := store.Offer(configstore.SourceService, data)
+		return err
+	}
+	delta := new(config.Delta)
+	if err := json.Unmarshal(data, delta); err != nil {
+		return err
+	}
+	next, err := config.Apply(store.Current(), delta)
+	if err != nil {
+		return err
+	}
+	store.OfferSnapshot(configstore.PeerSource("peer"), next)
+	return nil
+}
+
+// writeVersions writes the text of each version and its delta to the one before.
+func writeVersions(directory string) error {
+	var last *config.Snapshot
+	for i := range adoptions {
+		document := generate(fullSize)
+		document.Version.Sequence = uint64(i + 1)
+		document.Workspaces[i].MaxInFlight = 99
+		next, err := config.Load(document)
+		if err != nil {
+			return err
+		}
+		text, err := config.Canonical(document)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(fmt.Sprintf("%s/%d.text", directory, i), text, 0o600); err != nil {
+			return err
+		}
+		if last != nil {
+			delta, err := json.Marshal(config.NewDelta(last, next))
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(fmt.Sprintf("%s/%d.delta", directory, i), delta, 0o600); err != nil {
+				return err
+			}
+		}
+		last = next
+	}
+	return nil
+}
+
 // shortest returns the shortest time of several runs. A failure ends the program, because the step must succeed on a
 // generated document.
 func (o options) shortest(step func() error) time.Duration {
