--- a/pkg/configstore/fake_test.go
+++ b/pkg/configstore/fake_test.go
@@ -29,6 +29,8 @@
 	mu       sync.Mutex
 	handlers map[string]map[string]handler
 	cutOff   map[string]bool
+	// noService lists the nodes that do not reach the configuration service.
+	noService map[string]bool
 	// lost lists the methods of which all calls are lost.
 	lost  map[string]bool
 	calls map[string]int
@@ -36,10 +38,11 @@
 
 func newNetwork() *network {
 	return &network{
-		handlers: make(map[string]map[string]handler),
-		cutOff:   make(map[string]bool),
-		lost:     make(map[string]bool),
-		calls:    make(map[string]int),
+		handlers:  make(map[string]map[string]handler),
+		cutOff:    make(map[string]bool),
+		noService: make(map[string]bool),
+		lost:      make(map[string]bool),
+		calls:     make(map[string]int),
 	}
 }
 
@@ -49,6 +52,14 @@
 	n.cutOff[address] = cut
 }
 
+// isolate cuts a node off from its peers and from the service.
+func (n *network) isolate(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutOff[address] = cut
+	n.noService[address] = cut
+}
+
 func (n *network) lose(method string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -205,6 +216,36 @@
 	}
 }
 
+// view is the service as one node sees it. Calls of a node that is cut off from it hang until their context ends.
+type view struct {
+	*service
+	net     *network
+	address string
+}
+
+func (v *view) isCut() bool {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	return v.net.noService[v.address]
+}
+
+func (v *view) Value(ctx context.Context, key string) (platform.Value, error) {
+	if v.isCut() {
+		<-ctx.Done()
+		return platform.Value{}, ctx.Err()
+	}
+	return v.service.Value(ctx, key)
+}
+
+func (v *view) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
+	value, err := v.service.Watch(ctx, key, after, wait)
+	if v.isCut() {
+		<-ctx.Done()
+		return platform.Value{}, ctx.Err()
+	}
+	return value, err
+}
+
 // node is one node of a test with the exchange that the peer task performs.
 type node struct {
 	store  *configstore.Store
@@ -230,7 +271,7 @@
 	n := &node{store: configstore.New(quiet())}
 	p := &port{net: f.net, address: id}
 	n.syncer = configstore.NewSyncer(configstore.Options{
-		Store: n.store, Network: p, Service: f.service, Clock: clock.NewMonotonic(), Logger: quiet(),
+		Store: n.store, Network: p, Service: &view{f.service, f.net, id}, Clock: clock.NewMonotonic(), Logger: quiet(),
 		HostID: id, Zone: zone, Address: func() string { return id }, Seeds: seeds,
 	})
 	p.Handle("exchange", func(_ context.Context, from string, raw json.RawMessage) (any, error) {
--- a/pkg/configstore/reader.go
+++ b/pkg/configstore/reader.go
@@ -32,9 +32,7 @@
 		answered := s.askPeers(ctx, s.options.Seeds)
 		if s.options.Service != nil {
 			revision, err := s.readService(ctx)
-			if err != nil {
-				s.log.Warn("configuration read failed", "source", "service", "error", err)
-			}
+			s.noteOutcome(err)
 			s.revision = revision
 		}
 		if !answered {
@@ -47,8 +45,30 @@
 			return
 		}
 		s.log.Warn("no configuration yet", "seeds", len(s.options.Seeds), "service", s.options.Service != nil)
-		sleep(ctx, jitter(retryDelay))
+		s.awaitRetry(ctx)
+	}
+}
+
+// awaitRetry waits until the next attempt to join, or until a configuration has arrived in another way.
+func (s *Syncer) awaitRetry(ctx context.Context) {
+	timer := time.NewTimer(jitter(retryDelay))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.adopted:
+	}
+}
+
+// noteOutcome logs the first of a series of failed reads and the end of the series. The service may be down for hours.
+func (s *Syncer) noteOutcome(err error) {
+	switch {
+	case err != nil && !s.failing:
+		s.log.Warn("configuration read failed", "source", "service", "error", err)
+	case err == nil && s.failing:
+		s.log.Info("configuration service answers again")
 	}
+	s.failing = err != nil
 }
 
 // askPeers asks peers one after the other and reports whether any of them answered. The second one only adds what the
@@ -88,10 +108,10 @@
 		}
 		attempt = now
 		fraction = rand.Float64()
-		s.log.Info("reading the configuration service in place of another host", "rank", rank)
-		if err := s.readOnce(ctx, 0); err != nil {
-			s.log.Warn("configuration read failed", "source", "service", "error", err)
+		if !s.failing {
+			s.log.Info("reading the configuration service in place of another host", "rank", rank)
 		}
+		s.noteOutcome(s.readOnce(ctx, 0))
 	}
 }
 
@@ -127,8 +147,9 @@
 // watchOnce performs one watch and keeps a distance to the next one.
 func (s *Syncer) watchOnce(ctx context.Context) {
 	start := s.options.Clock.Now()
-	if err := s.readOnce(ctx, watchWait); err != nil {
-		s.log.Warn("configuration read failed", "source", "service", "error", err)
+	err := s.readOnce(ctx, watchWait)
+	s.noteOutcome(err)
+	if err != nil {
 		sleep(ctx, jitter(retryDelay))
 		return
 	}
--- a/pkg/configstore/syncer.go
+++ b/pkg/configstore/syncer.go
@@ -83,10 +83,14 @@
 
 	joined atomic.Bool
 	ready  chan struct{}
+	// adopted wakes the join when a configuration arrives in another way, such as by an exchange.
+	adopted chan struct{}
 
 	// revision is the revision of the value that was last taken from the service. Only one task uses it at a time: the
 	// join, then the reader.
 	revision uint64
+	// failing is set while the last read of the service failed. The task that owns the revision uses it.
+	failing bool
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -103,11 +107,12 @@
 		pauses:    ring.New[time.Duration](1, ring.DropOldest),
 		freshness: configstate.NewFreshness(0),
 		ready:     make(chan struct{}),
+		adopted:   make(chan struct{}, 1),
 	}
 	options.Network.Handle(MethodFetch, s.store.handleFetch)
 	options.Network.Handle(MethodPiece, s.store.handlePiece)
 	options.Network.Handle(MethodOffer, s.handleOffer)
-	s.store.Subscribe(func(_, adopted *config.Snapshot) { s.pushes.Push(markOf(adopted)) })
+	s.store.Subscribe(s.noteAdoption)
 	return s
 }
 
@@ -215,6 +220,14 @@
 	s.wanted.Push(request{address: address, always: true})
 }
 
+func (s *Syncer) noteAdoption(_, adopted *config.Snapshot) {
+	s.pushes.Push(markOf(adopted))
+	select {
+	case s.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // noteRead records the time of a read of the service in the zone. Earlier ones are ignored.
 func (s *Syncer) noteRead(at time.Duration) {
 	s.mu.Lock()
