Show that each rule of the claim protocol is needed, and close three gaps

A simulation runs recorders and owners on a network that loses, repeats, delays and reorders messages, with restarts, replaced hosts whose old process still runs, pauses, group changes at different times and restarts into an older configuration. Property: two attempts on one key are never both dispatched within the window.

- Two members that restart together could each read the other's table, or a third one's, before it knew of the other.
Known incarnations now travel with the tables, and the table of a process that was replaced does not count.
- A claim read from another member's table supported a grant to the same attempt, although a further member may hold the key for another one.
- The passing of two windows does not stop a previous group behind a partition.
The new group now waits until a majority of the previous one has adopted the new generation (claims.fence).
- The retention lacked the second between grant and dispatch.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -5,13 +5,15 @@
 // the time as an argument and are not safe for concurrent use.
 //
 // At most one attempt on a key is dispatched within the window because
-//   - any two majorities share a member, and a member grants a key to one attempt until Retention has passed;
-//   - a claim counts only until DispatchLimit after its start, so a restarted member that waits SettleTime before it
-//     reads the tables of the others finds every grant that could still count;
-//   - a member whose host was replaced while its old process still runs is known to the others by its new incarnation,
-//     and their votes void those of the old process;
-//   - a member rejects claims of another generation of the group, and claims need the majorities of both groups until
-//     the previous one is known to reject claims of its generation.
+//   - any two majorities share a member, and a member grants a key to one attempt until Retention has passed, which
+//     covers the window from any dispatch within DispatchLimit;
+//   - a restarted member votes after it has read the tables of a majority. A grant of its old process either was counted
+//     with a grant that one of these tables held, or with a vote given later, which reports the new incarnation and so
+//     voids it. Known incarnations travel with the tables, and a table of a process that was itself replaced does not
+//     count, so two members that restart together cannot both miss the other's grants;
+//   - a claim read from another member's table supports no grant, because other members may hold the key for others;
+//   - a member rejects claims of another generation of the group, and claims need the majorities of both groups until a
+//     majority of the previous one is known to reject claims of its own generation.
 package once
 
 import (
@@ -25,12 +27,6 @@
 const (
 	// DispatchLimit is the time from the start of a claim within which the attempt must be dispatched.
 	DispatchLimit = time.Second
-	// SettleTime is how long a restarted recorder waits before it reads the tables of the others. It exceeds
-	// DispatchLimit by an eighth, which covers clocks that run at different rates.
-	SettleTime = DispatchLimit + DispatchLimit/8
-	// RoundLimit is the time within which the answers of a recovery round must arrive. It is not above SettleTime, so
-	// that a member that restarts after it answered reads the others only after they have answered as well.
-	RoundLimit = DispatchLimit
 	// driftDivisor is the share of a window that is added for clocks that run at different rates (2,000 ppm).
 	driftDivisor = 512
 	// DefaultCapacity is the maximum number of entries of a service, about 130 bytes each. It suffices for 270 keyed
--- a/pkg/claims/recorder.go
+++ b/pkg/claims/recorder.go
@@ -91,10 +91,11 @@
 	if snapshot == nil || snapshot == s.applied {
 		return
 	}
+	before := s.applied
 	s.applied = snapshot
 	now := s.options.Clock.Now()
 	for i := range snapshot.Document().Services {
-		s.applyService(snapshot, snapshot.Document().Services[i].Name, now)
+		s.applyService(before, snapshot, snapshot.Document().Services[i].Name, now)
 	}
 	for name, r := range s.recorders {
 		if _, listed := groupOf(snapshot, name); !listed && r.removedAt == 0 {
@@ -103,7 +104,7 @@
 	}
 }
 
-func (s *Service) applyService(snapshot *config.Snapshot, name string, now time.Duration) {
+func (s *Service) applyService(before, snapshot *config.Snapshot, name string, now time.Duration) {
 	group, ok := groupOf(snapshot, name)
 	if !ok {
 		return
@@ -115,6 +116,10 @@
 	if !exists {
 		r = &recorder{state: once.NewRecorder(s.options.HostID, s.options.Incarnation, s.started, s.options.Capacity)}
 		s.recorders[name] = r
+		// The recorder must know the group before it, even if this node missed the versions that listed it as previous.
+		if old, known := groupOf(before, name); known {
+			r.state.Configure(old, now)
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +161,10 @@
 }
 
 func (s *Service) readTable(message recoverMessage) (any, error) {
+	// A node that does not know the host yet would keep the incarnations of any name.
+	if snapshot := s.options.Current(); snapshot == nil || snapshot.Host(message.Member) == nil {
+		return nil, fmt.Errorf("host %q is not listed", message.Member)
+	}
 	r, err := s.recorder(message.Service)
 	if err != nil {
 		return nil, err
