--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -4,7 +4,8 @@
 // The sources differ in what ends the state. The configuration is versioned, so a host is draining as long as the
 // version in force says so. The host orders its own reports by (incarnation, sequence), so its latest report counts. The
 // host list lags and carries no order, so its "live" proves nothing: a host that it reported as leaving returns with a
-// report of the host itself that is newer than any known when the list reported it.
+// report of the host itself that is newer than any known when the list reported it. If none was known then, the first
+// report may be older than the list's, and the host returns once the list agrees with it.
 package drain
 
 import "time"
@@ -66,6 +67,8 @@
 	own    latch
 	// listed is the last state in the host list. Only a change to leaving is a report.
 	listed bool
+	// confirmed is true if the first report of the host, which says that it serves, followed that of the list.
+	confirmed bool
 }
 
 // NewTracker returns a tracker that knows no host; unknown hosts are not leaving.
@@ -86,8 +89,12 @@
 	return t.change(id, func(h *host) {
 		if leaving && !h.listed {
 			h.list.observe(true, now)
+			h.confirmed = false
 		}
 		h.listed = leaving
+		if !leaving && h.confirmed {
+			h.clearList(now)
+		}
 	})
 }
 
@@ -99,19 +106,29 @@
 		if !h.latest.before(report) {
 			return
 		}
-		restarted := h.latest.incarnation != 0 && incarnation > h.latest.incarnation
+		known := h.latest.incarnation != 0
+		restarted := known && incarnation > h.latest.incarnation
 		// Within one incarnation a host that left does not return.
 		if h.own.set && !restarted {
 			leaving = true
 		}
 		h.latest = report
 		h.own.observe(leaving, now)
-		if !leaving {
-			h.list.observe(false, now)
+		if leaving {
+			return
+		}
+		h.confirmed = true
+		if known || !h.listed {
+			h.clearList(now)
 		}
 	})
 }
 
+func (h *host) clearList(now time.Duration) {
+	h.list.observe(false, now)
+	h.confirmed = false
+}
+
 // State returns the state of a host.
 func (t *Tracker) State(id string) State {
 	h, ok := t.hosts[id]
