Join the fleet through the configuration service and the peers

A node asks the service and its seeds before it takes work, passes new versions on, and after a pause runs nothing that may not be repeated until a peer or the service has confirmed the version in force. Requests that crash backend servers are suspected by fingerprint at the owner and placed or refused at the ingress.

Cause for Open on the owner: hop requests of other nodes could arrive between the first adoption and the end of the join, when a newer version may follow.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -29,10 +30,9 @@
 	Leaving(host string) bool
 }
 
-// Suspects tells where a request that is suspected of crashing backend servers may run.
+// Suspects tells how a request may run that is suspected of crashing backend servers.
 type Suspects interface {
-	// Only returns the single endpoint on which the request may run. It returns false if the request is not suspect.
-	Only(service, fingerprint string, endpoints func() []string) (endpoint string, suspect bool)
+	Decide(service, fingerprint string, serving func() []string) quarantine.Decision
 }
 
 // Options are the parts that an ingress works with. Inquirer, Suspects and Metrics may be nil.
@@ -143,6 +143,15 @@
 	}
 }
 
+// Serving returns the endpoints of a service that take work.
+func (i *Ingress) Serving(service string) []string {
+	v := i.view(service)
+	if v == nil {
+		return nil
+	}
+	return v.serving()
+}
+
 func (i *Ingress) view(service string) *view {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/health"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/retry"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/outcome"
@@ -74,6 +75,9 @@
 }
 
 func (s *serving) run(ctx context.Context) (*answer, *outcome.Error) {
+	if s.suspicion().Action == quarantine.Refuse {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, stepChoose, "", nil)
+	}
 	if !s.start(ctx) {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoEndpoint, stepChoose, "", nil)
 	}
@@ -104,7 +108,7 @@
 
 // start begins an attempt at an endpoint that was not tried yet.
 func (s *serving) start(ctx context.Context) bool {
-	p := s.view.choose(s.request, s.tried, s.only())
+	p := s.view.choose(s.request, s.tried, s.suspicion().Endpoint)
 	if p == nil {
 		return false
 	}
@@ -121,14 +125,12 @@
 	return true
 }
 
-// only returns the single endpoint on which a suspected request may run, or nothing.
-func (s *serving) only() string {
-	suspects := s.ingress.options.Suspects
-	if suspects == nil {
-		return ""
+// suspicion tells whether the request is suspected of crashing backend servers, and where it may run.
+func (s *serving) suspicion() quarantine.Decision {
+	if s.ingress.options.Suspects == nil {
+		return quarantine.Decision{}
 	}
-	endpoint, _ := suspects.Only(s.request.service.Name, s.request.fingerprint, s.view.serving)
-	return endpoint
+	return s.ingress.options.Suspects.Decide(s.request.service.Name, s.request.fingerprint, s.view.serving)
 }
 
 func (s *serving) hedgeable() bool {
@@ -156,7 +158,7 @@
 }
 
 func (s *serving) hedge(ctx context.Context) {
-	if s.only() != "" || !s.view.mayHedge() {
+	if s.suspicion().Action != quarantine.RunNormally || !s.view.mayHedge() {
 		return
 	}
 	if s.start(ctx) {
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -92,7 +92,9 @@
 		})
 		o := owner.New(owner.Options{
 			Host: id, Backends: map[string]string{id: backend.Listener.Addr().String()}, Decisions: decisions, Clock: clock.NewMonotonic(),
+			Fresh: func() bool { return true },
 		})
+		o.Open()
 		f.owners[id] = o
 		hopAddress := startServer(t, httpserver.New(address(), o.ServeHop))
 		var ip string
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"time"
 
 	"github.com/qmuntal/stateless"
 
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
@@ -21,6 +23,7 @@
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/peer"
+	"agatepulley.example/agatepulley/pkg/platform"
 	"agatepulley.example/agatepulley/pkg/settings"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -31,6 +34,7 @@
 	serviceTelemetry = "telemetry.metrics"
 	serviceStore     = "config.store"
 	servicePeers     = "peer.network"
+	serviceSyncer    = "config.syncer"
 	serviceClaims    = "claims.recorder"
 	serviceOwner     = "owner"
 	serviceIngress   = "ingress"
@@ -57,6 +61,8 @@
 	store     *configstore.Store
 	hosts     *fleet.Hosts
 	peers     *peer.Service
+	syncer    *configstore.Syncer
+	suspects  *suspects
 	claims    *claims.Service
 	owner     *owner.Owner
 	ingress   *ingress.Ingress
@@ -83,8 +89,12 @@
 		decisions:   decision.NewRecorder(log),
 		store:       configstore.New(log.Logger()),
 	}
+	n.suspects = newSuspects(n.clock, tele.Metrics())
+	n.suspects.serving = func(service string) []string { return n.ingress.Serving(service) }
+	n.suspects.publish = func(quarantine.Record) {}
 	n.hosts = fleet.New(s.HostID, n.hostsChanged)
 	n.peers = n.newPeers()
+	n.syncer = n.newSyncer()
 	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
@@ -105,7 +115,7 @@
 		Listen:      n.settings.PeerListen,
 		Clock:       n.clock,
 		Logger:      n.logger,
-		Summary:     n.summary,
+		Summary:     func() any { return n.syncer.Summary() },
 		ObserveSummary: func(address string, raw json.RawMessage) {
 			n.observeSummary(address, raw)
 		},
@@ -116,6 +126,23 @@
 	})
 }
 
+func (n *Node) newSyncer() *configstore.Syncer {
+	options := configstore.Options{
+		Store:   n.store,
+		Network: n.peers,
+		Clock:   n.clock,
+		Logger:  n.logger,
+		HostID:  n.settings.HostID,
+		Zone:    n.settings.Zone,
+		Address: n.peers.Address,
+		Seeds:   n.settings.SeedPeers,
+	}
+	if n.settings.ConfigService != "" {
+		options.Service = platform.NewClient(n.settings.ConfigService, 0)
+	}
+	return configstore.NewSyncer(options)
+}
+
 func (n *Node) newClaims() *claims.Service {
 	return claims.New(claims.Options{
 		HostID:      n.settings.HostID,
@@ -133,8 +160,11 @@
 		Incarnation: n.incarnation,
 		Backends:    backends(n.settings),
 		Claims:      &claimer{service: n.claims, clock: n.clock, metrics: n.telemetry.Metrics()},
+		Quarantine:  n.suspects,
 		Decisions:   n.decisions,
 		Clock:       n.clock,
+		Fresh:       n.fresh,
+		Paused:      n.paused,
 	})
 }
 
@@ -142,9 +172,10 @@
 	return ingress.New(ingress.Options{
 		Host:      n.settings.HostID,
 		Zone:      n.settings.Zone,
-		Config:    n.store.Current,
+		Config:    n.current,
 		Owner:     n.owner,
 		Hosts:     n.hosts,
+		Suspects:  n.suspects,
 		Inquirer:  &inquirer{host: n.settings.HostID, own: n.owner, network: n.peers},
 		Decisions: n.decisions,
 		Metrics:   n.telemetry.Metrics(),
@@ -152,6 +183,15 @@
 	})
 }
 
+// syncerService returns what the kernel starts to keep the configuration in step. A node that runs alone has nothing to
+// keep in step with.
+func (n *Node) syncerService() any {
+	if n.settings.Standalone() {
+		return struct{}{}
+	}
+	return n.syncer
+}
+
 func (n *Node) register() error {
 	services := []struct {
 		name    string
@@ -162,6 +202,7 @@
 		{serviceAdmin, n.admin},
 		{serviceStore, n.store},
 		{servicePeers, n.peers},
+		{serviceSyncer, n.syncerService()},
 		{serviceClaims, n.claims},
 		{serviceOwner, n.owner},
 		{serviceIngress, n.ingress},
@@ -185,15 +226,15 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	n.fire(triggerStarted)
-	if err := n.join(); err != nil {
-		return err
+	if err := n.join(ctx); err != nil {
+		return errors.Join(err, n.stop())
 	}
 	<-ctx.Done()
 	return n.stop()
 }
 
 // join obtains the configuration before the node takes work.
-func (n *Node) join() error {
+func (n *Node) join(ctx context.Context) error {
 	if n.settings.Standalone() {
 		data, err := config.Canonical(embeddedDocument(n.settings))
 		if err != nil {
@@ -202,17 +243,36 @@
 		if _, err := n.store.Offer(configstore.SourceBuiltin, data); err != nil {
 			return fmt.Errorf("adopt embedded configuration: %w", err)
 		}
+	} else if err := n.syncer.WaitReady(ctx); err != nil {
+		// The node is stopped before it has joined.
+		return nil
+	}
+	n.owner.Open()
+	n.fire(triggerJoined)
+	return nil
+}
+
+// current returns the configuration in force once the node has joined.
+func (n *Node) current() *config.Snapshot {
+	if state := n.State(); state == StateServing || state == StateDraining {
+		return n.store.Current()
 	}
 	return nil
 }
 
+// fresh reports whether the configuration in force may be acted on after a pause. A node that runs alone has nobody to
+// ask, and nobody who could know better.
+func (n *Node) fresh() bool {
+	return n.settings.Standalone() || n.syncer.Fresh()
+}
+
 // adopted applies a new configuration to the parts of the node.
 func (n *Node) adopted(_, snapshot *config.Snapshot) {
 	n.hosts.Update(snapshot)
 	n.peers.SetDirectory(n.hosts.Members())
 	n.owner.Update(snapshot)
 	n.ingress.Update(snapshot)
-	n.fire(triggerJoined)
+	n.suspects.update(snapshot)
 }
 
 // hostsChanged follows a change of a host's leaving state.
@@ -224,9 +284,8 @@
 // paused follows a pause of the process: nothing that may not be repeated is run before the configuration was compared
 // with a peer's.
 func (n *Node) paused(gap time.Duration) {
-	n.logger.Warn("process was paused", "gap_ms", gap.Milliseconds())
 	n.telemetry.Metrics().Paused()
-	n.owner.Hold()
+	n.syncer.NotePause(gap)
 }
 
 func versionText(v config.Version) string {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -19,7 +19,6 @@
 	. "github.com/onsi/gomega"
 
 	"agatepulley.example/agatepulley/pkg/config"
-	"agatepulley.example/agatepulley/pkg/configstore"
 	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/settings"
 	"agatepulley.example/agatepulley/pkg/telemetry"
@@ -44,7 +43,7 @@
 
 func newSettings(host, zone string, arguments ...string) *settings.Settings {
 	all := append([]string{
-		"--host-id", host, "--zone", zone, "--drain-notice", "0s", "--seed-peer", "127.0.0.1:1",
+		"--host-id", host, "--zone", zone, "--drain-notice", "0s",
 		"--listen", freeAddress(), "--hop-listen", freeAddress(), "--peer-listen", freeAddress(), "--admin-listen", freeAddress(),
 	}, arguments...)
 	s, err := settings.Parse(all)
@@ -66,9 +65,29 @@
 	stop    context.CancelFunc
 }
 
+// serveConfig starts a configuration service that holds one document.
+func serveConfig(document *config.Document) string {
+	data, err := config.Canonical(document)
+	Expect(err).NotTo(HaveOccurred())
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/watch/") {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set("X-Revision", "1")
+		_, _ = w.Write(data)
+	}))
+	DeferCleanup(func() {
+		service.CloseClientConnections()
+		service.Close()
+	})
+	return service.Listener.Addr().String()
+}
+
 func startNode(s *settings.Settings, document *config.Document) *testNode {
 	log, err := telemetry.NewLog(io.Discard, "json", "error")
 	Expect(err).NotTo(HaveOccurred())
+	s.ConfigService = serveConfig(document)
 	n, err := New(s, log)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,11 +100,6 @@
 		cancel()
 		Eventually(t.stopped, hangGuard).Should(BeClosed())
 	})
-	Eventually(n.State, hangGuard).Should(Equal(StateJoining))
-	data, err := config.Canonical(document)
-	Expect(err).NotTo(HaveOccurred())
-	_, err = n.store.Offer(configstore.SourceService, data)
-	Expect(err).NotTo(HaveOccurred())
 	Eventually(n.State, hangGuard).Should(Equal(StateServing))
 	return t
 }
@@ -103,7 +117,7 @@
 		backend.Close()
 	})
 	ingressSettings := newSettings("h1", "z1")
-	ownerSettings := newSettings("h2", "z2", "--backend", "e1="+backend.Listener.Addr().String())
+	ownerSettings := newSettings("h2", "z2", "--config-service", "127.0.0.1:1", "--backend", "e1="+backend.Listener.Addr().String())
 	document := &config.Document{
 		Format: config.Format, Version: config.Version{Epoch: 1, Sequence: 1},
 		Hosts: []config.Host{hostOf(ingressSettings), hostOf(ownerSettings)},
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -7,32 +7,19 @@
 
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/configstore"
 )
 
-// summary is what the peer exchange says about the configuration in force.
-type summary struct {
-	Version config.Version `json:"version"`
-	Digest  string         `json:"digest"`
-}
-
-func (n *Node) summary() any {
-	snapshot := n.store.Current()
-	if snapshot == nil {
-		return summary{}
-	}
-	return summary{Version: snapshot.Version(), Digest: snapshot.Digest()}
-}
-
+// observeSummary takes what a peer says about its configuration.
 func (n *Node) observeSummary(address string, raw json.RawMessage) {
-	var s summary
-	if err := json.Unmarshal(raw, &s); err != nil {
-		n.logger.Warn("peer summary", "peer", address, "error", err)
+	n.syncer.ObserveRaw(address, raw)
+	var summary configstore.Summary
+	if err := json.Unmarshal(raw, &summary); err != nil {
 		return
 	}
 	if id, ok := n.hosts.IDByPeerAddress(address); ok {
-		n.hosts.ObserveConfiguration(id, s.Version, s.Digest)
+		n.hosts.ObserveConfiguration(id, summary.Version, summary.Digest)
 	}
-	n.owner.Resume()
 }
 
 // Readiness implements admin.ReadinessSource.
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -48,7 +48,7 @@
 		pool:    transport.NewPool(address, backendPoolOptions(), &o.stats),
 		waiting: make(map[string]chan error),
 	}
-	e.life = newLifecycle(func(hop.State) { o.notify(ref.ID, e.load()) })
+	e.life = newLifecycle(o.options.Incarnation, func(hop.State) { o.notify(ref.ID, e.load()) })
 	return e
 }
 
@@ -113,12 +113,12 @@
 
 // run admits a request, claims its key if needed, and dispatches it.
 func (e *endpoint) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
-	alone, failure := e.place(r)
-	if failure != nil {
+	var failure *outcome.Error
+	if r.alone, failure = e.place(r); failure != nil {
 		return nil, failure
 	}
 	offered := e.owner.now()
-	if failure := e.admit(ctx, r, alone); failure != nil {
+	if failure := e.admit(ctx, r); failure != nil {
 		return nil, failure
 	}
 	admitted := e.owner.now()
@@ -158,8 +158,8 @@
 }
 
 // admit waits for a slot. It returns when the request may be dispatched or is refused.
-func (e *endpoint) admit(ctx context.Context, r *Request, alone bool) *outcome.Error {
-	granted, failure := e.offer(ctx, r, alone)
+func (e *endpoint) admit(ctx context.Context, r *Request) *outcome.Error {
+	granted, failure := e.offer(ctx, r)
 	if granted == nil || failure != nil {
 		return failure
 	}
@@ -178,7 +178,7 @@
 }
 
 // offer puts the request before the queue. It returns a channel if the request has to wait.
-func (e *endpoint) offer(ctx context.Context, r *Request, alone bool) (chan error, *outcome.Error) {
+func (e *endpoint) offer(ctx context.Context, r *Request) (chan error, *outcome.Error) {
 	now := e.owner.now()
 	deadline, _ := ctx.Deadline()
 	e.mu.Lock()
@@ -187,7 +187,7 @@
 		ID:       r.Attempt,
 		Long:     r.Long,
 		Deadline: now + time.Until(deadline),
-		Alone:    alone,
+		Alone:    r.alone,
 	})
 	switch decided.Verdict {
 	case admission.Run:
@@ -293,6 +293,7 @@
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStalePause, nil)
 	}
 	e.owner.registry.set(r.Attempt, AttemptRunning)
+	r.run = e.life.run()
 	token := e.beginWork(r)
 	response, failure := e.exchange(ctx, r)
 	e.endWork(token, failure)
@@ -389,7 +390,7 @@
 
 func (e *endpoint) suspect(r *Request) {
 	if e.owner.options.Quarantine != nil {
-		e.owner.options.Quarantine.Crashed(r.Service, r.Fingerprint, e.id)
+		e.owner.options.Quarantine.Crashed(r.Service, r.Fingerprint, Crash{Endpoint: e.id, Incarnation: r.run, Alone: r.alone})
 	}
 }
 
--- a/pkg/owner/lifecycle.go
+++ b/pkg/owner/lifecycle.go
@@ -26,11 +26,13 @@
 	machine  *stateless.StateMachine
 	ramp     time.Duration
 	coldFrom time.Time
-	changed  func(hop.State)
+	// incarnation identifies the run of the backend server. It rises each time the server was down.
+	incarnation uint64
+	changed     func(hop.State)
 }
 
-func newLifecycle(changed func(hop.State)) *lifecycle {
-	l := &lifecycle{changed: changed}
+func newLifecycle(incarnation uint64, changed func(hop.State)) *lifecycle {
+	l := &lifecycle{incarnation: incarnation, changed: changed}
 	m := stateless.NewStateMachine(hop.StateServing)
 	m.Configure(hop.StateServing).
 		Permit(triggerRefused, hop.StateDown).
@@ -43,6 +45,7 @@
 	m.Configure(hop.StateCold).
 		OnEntry(func(context.Context, ...any) error {
 			l.coldFrom = time.Now()
+			l.incarnation++
 			return nil
 		}).
 		Permit(triggerRefused, hop.StateDown).
@@ -58,6 +61,13 @@
 	return l.machine.MustState().(hop.State)
 }
 
+// run returns the incarnation of the backend server.
+func (l *lifecycle) run() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.incarnation
+}
+
 func (l *lifecycle) setRamp(ramp time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -124,7 +134,7 @@
 func (o *Owner) turn() {
 	if o.paused() {
 		o.resumeDetectors()
-		o.Hold()
+		o.options.Paused(o.now() - time.Duration(o.lastTurn.Load()))
 	}
 	o.lastTurn.Store(int64(o.now()))
 	for _, e := range o.list() {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -49,10 +49,19 @@
 // Quarantine tracks requests that are suspected of crashing backend servers.
 type Quarantine interface {
 	Place(service, fingerprint, endpoint string) Placement
-	Crashed(service, fingerprint, endpoint string)
+	Crashed(service, fingerprint string, crash Crash)
 	Succeeded(service, fingerprint string)
 }
 
+// Crash is a crash of a backend server while a request was in flight there.
+type Crash struct {
+	Endpoint string
+	// Incarnation identifies the run of the backend server that ended.
+	Incarnation uint64
+	// Alone is true if the request ran alone because it was suspected.
+	Alone bool
+}
+
 // Options are the parts that an owner works with. Claims and Quarantine may be nil.
 type Options struct {
 	Host        string
@@ -64,6 +73,10 @@
 	Decisions  *decision.Recorder
 	// Clock detects pauses of the process.
 	Clock clock.Clock
+	// Fresh reports whether the configuration in force may be acted on; it is false for a while after a pause.
+	Fresh func() bool
+	// Paused is told of each pause of the process before Fresh is asked again.
+	Paused func(gap time.Duration)
 	// LoadChanged is told of each change of an endpoint's state, and of its load as long as it stalls.
 	LoadChanged func(endpoint string, load hop.Load)
 }
@@ -74,6 +87,11 @@
 	Transport *transport.Request
 	// Waited is set to the time for which the request waited for a slot.
 	Waited time.Duration
+
+	// alone is set if the request is suspected of crashing backend servers.
+	alone bool
+	// run is the incarnation of the backend server that the request was dispatched to.
+	run uint64
 }
 
 // Owner runs requests on the endpoints of its host. It is safe for concurrent use.
@@ -81,8 +99,8 @@
 	options  Options
 	registry *registry
 	stats    transport.Stats
+	open     atomic.Bool
 	leaving  atomic.Bool
-	held     atomic.Bool
 	lastTurn atomic.Int64
 
 	mu        sync.RWMutex
@@ -157,15 +175,9 @@
 	return o.leaving.Load()
 }
 
-// Hold makes the owner refuse requests that may not be repeated until Resume, because the process was paused and its
-// configuration may be out of date.
-func (o *Owner) Hold() {
-	o.held.Store(true)
-}
-
-// Resume ends Hold.
-func (o *Owner) Resume() {
-	o.held.Store(false)
+// Open lets the owner take work. It is called once the node knows the configuration in force.
+func (o *Owner) Open() {
+	o.open.Store(true)
 }
 
 // Inquire returns what became of an attempt. An attempt that is not known will never be run.
@@ -237,6 +249,8 @@
 func (o *Owner) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
 	e := o.endpoint(r.Endpoint)
 	switch {
+	case !o.open.Load():
+		return nil, o.refuse(r, stepAdmit, outcome.ReasonNotReady, nil)
 	case o.leaving.Load():
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	case e == nil:
@@ -278,7 +292,7 @@
 
 // mayRunOnce reports whether a request that may not be repeated may be dispatched with what this process believes.
 func (o *Owner) mayRunOnce() bool {
-	return !o.held.Load() && !o.paused()
+	return !o.paused() && o.options.Fresh()
 }
 
 // now returns the monotonic time.
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -103,7 +103,9 @@
 		Claims:    claims,
 		Decisions: decision.NewRecorder(quietLog(t)),
 		Clock:     f.clock,
+		Fresh:     func() bool { return true },
 	})
+	f.owner.Open()
 	f.owner.Update(config.NewSnapshot(&config.Document{
 		Hosts:    []config.Host{{ID: "h1", Address: "127.0.0.1"}},
 		Services: []config.Service{{Name: "s", Endpoints: []config.Endpoint{{ID: "e1", Host: "h1", Slots: slots}}}},
