Keep exchanges within the control-plane budget while news spread

With 16 items each way an exchange took 5,777 bytes, 11.6 KB/s at two exchanges a second. At the design scale about 50 items are recent at any time, so this would be the normal load and exceed the budget of 5 KB/s.

Ruled out: the newest items first, since then the same few are sent by all.

--- a/pkg/news/item.go
+++ b/pkg/news/item.go
@@ -32,18 +32,18 @@
 	StateCleared   = "cleared"
 )
 
-// Item is one piece of news.
+// Item is one piece of news. The names on the wire are short because items make up most of the exchange.
 type Item struct {
-	Kind    Kind   `json:"kind"`
-	Subject string `json:"subject"`
+	Kind    Kind   `json:"k"`
+	Subject string `json:"s"`
 	// Origin is the host that published the item. Items of different origins on a subject stand side by side.
-	Origin      string          `json:"origin"`
-	Incarnation uint64          `json:"incarnation"`
-	Sequence    uint64          `json:"sequence"`
-	State       string          `json:"state"`
-	Data        json.RawMessage `json:"data,omitempty"`
+	Origin      string          `json:"o"`
+	Incarnation uint64          `json:"i"`
+	Sequence    uint64          `json:"n"`
+	State       string          `json:"t"`
+	Data        json.RawMessage `json:"d,omitempty"`
 	// AgeMS is the time since the item was published, added up over the nodes it passed, without the time in transit.
-	AgeMS int64 `json:"age_ms,omitempty"`
+	AgeMS int64 `json:"a,omitempty"`
 }
 
 // key is what a newer item replaces.
--- a/pkg/news/news_test.go
+++ b/pkg/news/news_test.go
@@ -164,11 +164,11 @@
 	now.now = 50 * time.Second
 	offered := map[string]bool{}
 	var last json.RawMessage
-	for range 5 {
+	for range 10 {
 		var items []news.Item
 		last = s.Batch(16)
 		g.Expect(json.Unmarshal(last, &items)).To(gomega.Succeed())
-		g.Expect(len(items)).To(gomega.BeNumerically("<=", 2), "nothing is recent")
+		g.Expect(len(items)).To(gomega.BeNumerically("<=", 1), "nothing is recent")
 		for _, item := range items {
 			offered[item.Subject] = true
 			g.Expect(item.AgeMS).To(gomega.BeEquivalentTo(50_000))
--- a/pkg/news/store.go
+++ b/pkg/news/store.go
@@ -2,12 +2,18 @@
 
 import (
 	"container/list"
+	"math/rand/v2"
 	"time"
 )
 
-// olderPerBatch is the number of items in a batch that are not recent. With two exchanges a second it keeps the traffic
-// of an idle fleet within its budget of 5 KB/s.
-const olderPerBatch = 2
+// Numbers of items in a batch. At the design scale about 50 items are recent at any time (5,400 restarts a day of hosts
+// with 12 endpoints each); batches of 16 would take 11.6 KB/s of a budget of 5 KB/s.
+const (
+	recentPerBatch = 3
+	olderPerBatch  = 1
+	// recentScan bounds the recent items from which a batch is chosen.
+	recentScan = 256
+)
 
 // store holds the latest item of each key, ordered by the time of the last change. It is bounded in number and age. It
 // is not safe for concurrent use.
@@ -84,26 +90,18 @@
 	return element.Value.(*stored).at(now), true
 }
 
-// batch returns up to limit items: the recent ones, and a few older ones in turn, so that a node that missed a push and
-// the exchanges after it still gets each item after some time. Without recent items a batch is small.
+// batch returns up to limit items: some of the recent ones at random, which pushes may have missed, and an older one in
+// turn, so that a node that missed it for longer still gets it after some time.
 func (s *store) batch(limit int, now time.Duration) []Item {
-	items := make([]Item, 0, limit)
-	element := s.order.Front()
-	for element != nil && len(items) < limit-olderPerBatch {
-		item := element.Value.(*stored).at(now)
-		if item.age() >= urgentAge {
-			break
-		}
-		items = append(items, item)
-		element = element.Next()
-	}
-	if element == nil {
+	recent, older := s.recent(now)
+	rand.Shuffle(len(recent), func(i, j int) { recent[i], recent[j] = recent[j], recent[i] })
+	items := recent[:min(len(recent), recentPerBatch, limit)]
+	if older == nil {
 		return items
 	}
-	recent := len(items)
-	for range min(olderPerBatch, len(s.items)-recent) {
+	for range min(olderPerBatch, limit-len(items)) {
 		if s.cursor == nil {
-			s.cursor = element
+			s.cursor = older
 		}
 		items = append(items, s.cursor.Value.(*stored).at(now))
 		s.cursor = s.cursor.Next()
@@ -111,6 +109,21 @@
 	return items
 }
 
+// recent returns the items that are still pushed, and the first one that is not.
+func (s *store) recent(now time.Duration) ([]Item, *list.Element) {
+	var items []Item
+	element := s.order.Front()
+	for element != nil && len(items) < recentScan {
+		item := element.Value.(*stored).at(now)
+		if item.age() >= urgentAge {
+			break
+		}
+		items = append(items, item)
+		element = element.Next()
+	}
+	return items, element
+}
+
 // at returns the item with its age at the given time.
 func (s *stored) at(now time.Duration) Item {
 	item := s.item
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -17,7 +17,7 @@
 	// tickInterval is how often the pause detector looks. A pause is a gap above pauseThreshold.
 	tickInterval   = 250 * time.Millisecond
 	pauseThreshold = time.Second
-	// exchangeNews is the number of news items in one exchange.
+	// exchangeNews is the maximum number of news items in one exchange. pkg/news sends fewer.
 	exchangeNews = 16
 )
 
--- a/pkg/peer/exchange_test.go
+++ b/pkg/peer/exchange_test.go
@@ -59,10 +59,10 @@
 	busy := bytes()
 	clock.now.Store(int64(time.Minute))
 	idle := bytes()
-	t.Logf("bytes of one exchange in both directions: %d with 16 items each way, %d without recent ones", busy, idle)
+	t.Logf("bytes of one exchange in both directions: %d with recent items, %d without", busy, idle)
 	const exchangesPerSecond, budget = 2, 5000
-	g.Expect(exchangesPerSecond * idle).To(gomega.BeNumerically("<", budget))
-	g.Expect(busy).To(gomega.BeNumerically("<", 2*budget))
+	g.Expect(exchangesPerSecond * busy).To(gomega.BeNumerically("<", budget))
+	g.Expect(idle).To(gomega.BeNumerically("<", busy))
 }
 
 // Guards against a node that never exchanges by itself, and against connections that stay open without use.
