Tell attempts of different nodes and processes apart

A request that an ingress hands to two owners under one attempt name, or to an owner that restarted, was one attempt to the recorders, which granted it again. The identity of an attempt now includes the host and its incarnation.

Tested: TestOneAttemptIsGrantedAndDuplicatesLearnItsStatus claims the same attempt at a second node and is denied; it failed before the change.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -18,7 +18,7 @@
 	"agatepulley.example/agatepulley/pkg/ring"
 )
 
-// Request names an attempt to run a request. Attempts must be unique: each one is claimed at most once.
+// Request names an attempt to run a request. A node must claim each attempt at most once.
 type Request struct {
 	Service string
 	Key     string
@@ -158,7 +158,7 @@
 
 // collect sends the claim to all members and waits for the decision.
 func (s *Service) collect(ctx context.Context, tally *once.Tally, snapshot *config.Snapshot, group once.Group, r Request) once.Decision {
-	claim := group.Claim(once.HashID(r.Key), once.HashID(r.Attempt))
+	claim := group.Claim(once.HashID(r.Key), s.attemptID(r))
 	members := group.All()
 	ballots := make(chan ballot, len(members))
 	for _, member := range members {
@@ -190,6 +190,12 @@
 	return tally.Expire(tally.Started() + once.DispatchLimit)
 }
 
+// attemptID identifies an attempt among those of all nodes: two nodes that are given the same attempt, or a node that is
+// given it again after a restart, claim it as different ones.
+func (s *Service) attemptID(r Request) once.ID {
+	return once.HashID(fmt.Sprintf("%s/%d/%s", s.options.HostID, s.options.Incarnation, r.Attempt))
+}
+
 // ballot is the result of asking one member.
 type ballot struct {
 	member string
--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -189,6 +189,7 @@
 		first := f.claim("h3", "a1")
 		f.g.Expect(first.Granted).To(gomega.BeTrue())
 		f.g.Expect(first.Valid(f.clock.Now())).To(gomega.BeTrue())
+		f.g.Expect(f.claim("h4", "a1").Granted).To(gomega.BeFalse(), "the same attempt at another node")
 		second := f.claim("h0", "a2")
 		f.g.Expect(second.Reason).To(gomega.Equal(outcome.ReasonClaimed))
 		f.g.Expect(second.State).To(gomega.Equal(claims.StatePending))
--- a/pkg/claims/notices.go
+++ b/pkg/claims/notices.go
@@ -33,7 +33,7 @@
 	message := noticeMessage{
 		Service: r.Service,
 		Key:     once.HashID(r.Key),
-		Attempt: once.HashID(r.Attempt),
+		Attempt: s.attemptID(r),
 		Status:  status,
 	}
 	for _, member := range group.All() {
