Spread news of hosts, endpoints and fingerprints, and watch the host list

The host's own word, the configuration and the host list now all reach the owner, which refuses new work, and the ingresses, which route elsewhere. Only nodes that read the platform for their zone watch the host list and pass changes on, since a watch from each of 4,200 nodes would use up the read budget.

--- a/pkg/configstore/reader.go
+++ b/pkg/configstore/reader.go
@@ -23,6 +23,9 @@
 	minWatchInterval = 250 * time.Millisecond
 	// maxReaderSleep is how often a host that does not hold a watch looks at the age of the latest read.
 	maxReaderSleep = 500 * time.Millisecond
+	// ownReadLifetime is how long a host counts as reader after a read in place of another one. It is longer than the
+	// largest take-over age.
+	ownReadLifetime = 15 * time.Second
 )
 
 // join asks the seed peers and the service until the node has a configuration and every source has answered or failed
@@ -69,6 +72,19 @@
 		s.log.Info("configuration service answers again")
 	}
 	s.failing = err != nil
+	if err == nil {
+		s.ownRead.Store(int64(s.options.Clock.Now()) + 1)
+	}
+}
+
+// Reads reports whether this host reads the platform for its zone: it holds a watch, or has lately read in place of
+// another host.
+func (s *Syncer) Reads() bool {
+	if configstate.Holds(s.rank()) {
+		return true
+	}
+	last := s.ownRead.Load()
+	return last > 0 && s.options.Clock.Now()-time.Duration(last) < ownReadLifetime
 }
 
 // askPeers asks peers one after the other and reports whether any of them answered. The second one only adds what the
--- a/pkg/configstore/syncer.go
+++ b/pkg/configstore/syncer.go
@@ -86,6 +86,9 @@
 	// adopted wakes the join when a configuration arrives in another way, such as by an exchange.
 	adopted chan struct{}
 
+	// ownRead is one more than the time of the latest read by this host, or zero.
+	ownRead atomic.Int64
+
 	// revision is the revision of the value that was last taken from the service. Only one task uses it at a time: the
 	// join, then the reader.
 	revision uint64
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/qmuntal/stateless"
+
+	"agatepulley.example/agatepulley/pkg/news"
 )
 
 // State is a state of the node's life cycle.
@@ -114,10 +117,8 @@
 // announceLeaving tells the other nodes that this host is leaving.
 func (n *Node) announceLeaving() {
 	n.hosts.ObserveHost(n.settings.HostID, n.incarnation, leavingSequence, true)
+	n.publish(news.KindHost, n.settings.HostID, news.StateLeaving, nil)
 }
 
-// leavingSequence orders the host's report of leaving after the one of serving within an incarnation.
-const (
-	servingSequence = 1
-	leavingSequence = 2
-)
+// leavingSequence is higher than that of any earlier report of this host on itself.
+const leavingSequence = math.MaxUint64
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,7 +10,6 @@
 
 	"github.com/qmuntal/stateless"
 
-	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
@@ -21,6 +20,7 @@
 	"agatepulley.example/agatepulley/pkg/httpserver"
 	"agatepulley.example/agatepulley/pkg/ingress"
 	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/news"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/platform"
@@ -35,6 +35,8 @@
 	serviceStore     = "config.store"
 	servicePeers     = "peer.network"
 	serviceSyncer    = "config.syncer"
+	serviceNews      = "news.store"
+	serviceHostList  = "platform.hosts"
 	serviceClaims    = "claims.recorder"
 	serviceOwner     = "owner"
 	serviceIngress   = "ingress"
@@ -63,6 +65,8 @@
 	peers     *peer.Service
 	syncer    *configstore.Syncer
 	suspects  *suspects
+	news      *news.Service
+	hostList  *hostList
 	claims    *claims.Service
 	owner     *owner.Owner
 	ingress   *ingress.Ingress
@@ -91,10 +95,13 @@
 	}
 	n.suspects = newSuspects(n.clock, tele.Metrics())
 	n.suspects.serving = func(service string) []string { return n.ingress.Serving(service) }
-	n.suspects.publish = func(quarantine.Record) {}
+	n.suspects.publish = n.publishSuspect
+	n.news = news.New(news.Options{HostID: s.HostID, Incarnation: n.incarnation, Clock: n.clock, Logger: n.logger})
 	n.hosts = fleet.New(s.HostID, n.hostsChanged)
 	n.peers = n.newPeers()
+	n.news.SetNetwork(n.peers)
 	n.syncer = n.newSyncer()
+	n.hostList = newHostList(n)
 	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
@@ -104,6 +111,7 @@
 		Status: n, Readiness: n, Explainer: n.decisions, Metrics: tele.Handler(),
 	}, n.logger)
 	answerInquiries(n.peers, n.owner)
+	n.subscribe()
 	return n, n.register()
 }
 
@@ -122,6 +130,7 @@
 		ObserveHost: func(host string, incarnation uint64, _, _ string) {
 			n.hosts.ObserveIncarnation(host, incarnation)
 		},
+		News:    n.news,
 		OnPause: n.paused,
 	})
 }
@@ -164,6 +173,7 @@
 		Decisions:   n.decisions,
 		Clock:       n.clock,
 		Fresh:       n.fresh,
+		LoadChanged: n.publishLoad,
 		Paused:      n.paused,
 	})
 }
@@ -203,6 +213,8 @@
 		{serviceStore, n.store},
 		{servicePeers, n.peers},
 		{serviceSyncer, n.syncerService()},
+		{serviceNews, n.news},
+		{serviceHostList, n.hostList},
 		{serviceClaims, n.claims},
 		{serviceOwner, n.owner},
 		{serviceIngress, n.ingress},
@@ -249,6 +261,7 @@
 	}
 	n.owner.Open()
 	n.fire(triggerJoined)
+	n.publish(news.KindHost, n.settings.HostID, news.StateServing, nil)
 	return nil
 }
 
@@ -278,6 +291,7 @@
 // hostsChanged follows a change of a host's leaving state.
 func (n *Node) hostsChanged() {
 	n.peers.SetDirectory(n.hosts.Members())
+	n.owner.Drain(n.hosts.Leaving(n.settings.HostID))
 	n.ingress.Refresh()
 }
 
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -30,6 +30,8 @@
 	pool    *transport.Pool
 	life    *lifecycle
 	probing atomic.Bool
+	// draining is set while the configuration takes the endpoint out of use.
+	draining atomic.Bool
 
 	mu        sync.Mutex
 	slots     int
@@ -70,6 +72,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.slots = ref.Slots
+	e.draining.Store(ref.Draining)
 	e.life.setRamp(config.Millis(ref.Service.Health.RampMS))
 	if e.queue != nil {
 		e.queue.Resize(e.effectiveSlots())
@@ -98,7 +101,7 @@
 	score := e.detector.StallScore(e.owner.now(), e.id)
 	e.mu.Unlock()
 	state := e.life.state()
-	if e.owner.Leaving() {
+	if e.owner.Leaving() || e.draining.Load() {
 		state = hop.StateLeaving
 	}
 	return hop.Load{
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -100,7 +100,8 @@
 	registry *registry
 	stats    transport.Stats
 	open     atomic.Bool
-	leaving  atomic.Bool
+	stopping atomic.Bool
+	draining atomic.Bool
 	lastTurn atomic.Int64
 
 	mu        sync.RWMutex
@@ -165,14 +166,19 @@
 	o.endpoints = kept
 }
 
-// Leave makes the owner refuse new work. Work that was admitted is finished.
+// Leave makes the owner refuse new work for good. Work that was admitted is finished.
 func (o *Owner) Leave() {
-	o.leaving.Store(true)
+	o.stopping.Store(true)
+}
+
+// Drain makes the owner refuse new work as long as the configuration or the host list says that its host is leaving.
+func (o *Owner) Drain(leaving bool) {
+	o.draining.Store(leaving)
 }
 
 // Leaving reports whether the owner refuses new work.
 func (o *Owner) Leaving() bool {
-	return o.leaving.Load()
+	return o.stopping.Load() || o.draining.Load()
 }
 
 // Open lets the owner take work. It is called once the node knows the configuration in force.
@@ -251,10 +257,10 @@
 	switch {
 	case !o.open.Load():
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonNotReady, nil)
-	case o.leaving.Load():
-		return nil, o.refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	case e == nil:
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonUnknownEndpoint, nil)
+	case o.Leaving() || e.draining.Load():
+		return nil, o.refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
 	return e.run(ctx, r)
 }
