--- a/core/health/baseline.go
+++ b/core/health/baseline.go
@@ -13,7 +13,7 @@
 	// baselineLimit bounds the weight of the past: at this total all counts are halved.
 	baselineLimit = 2000
 	// baselineMinimum is the number of samples below which latency is no evidence.
-	baselineMinimum = 30
+	baselineMinimum = 50
 	// extrapolateBelow is the tail share below which the empirical tail is too thin and a Pareto tail with
 	// paretoExponent is used. An exponent of 2 is heavier than the measured tails, which errs towards no evidence.
 	extrapolateBelow = 0.02
@@ -82,10 +82,12 @@
 }
 
 func (b *baseline) extrapolate(latency time.Duration) float64 {
+	// The largest of few samples says little about the tail, so at least two of them are left above the reference.
+	share := max(extrapolateBelow, 2/b.total)
 	above, ref := 0.0, bucketCount-1
 	for ; ref > 0; ref-- {
 		above += float64(b.counts[ref])
-		if above >= extrapolateBelow*b.total {
+		if above >= share*b.total {
 			break
 		}
 	}
@@ -93,7 +95,7 @@
 	if ratio >= 1 {
 		return 1
 	}
-	return extrapolateBelow * math.Pow(ratio, paretoExponent)
+	return share * math.Pow(ratio, paretoExponent)
 }
 
 // quantile returns a latency that at most the given share of requests exceeds, or 0 while too little is known.
--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -29,7 +29,7 @@
 	excessMargin = 1.0
 	// priorSamples is the weight of the usual share of failures, in outcomes of peers.
 	priorSamples = 10
-	// badSample is the evidence from which a successful request counts as bad.
+	// badSample is the evidence from which an outcome counts as bad; a failure always does.
 	badSample = 2.5
 	// qualityWeight is the weight of the latest outcome in an endpoint's share of good ones.
 	qualityWeight = 1.0 / 8
@@ -161,13 +161,14 @@
 // oldest is the time from which on the ring holds all outcomes.
 func (r *recentEvidence) oldest() time.Duration {
 	if len(r.samples) < recentLimit {
-		return 0
+		return math.MinInt64
 	}
 	return r.samples[r.next].end
 }
 
-// observe adds one outcome to the evidence and the baselines, and reports whether it speaks against the endpoint.
-func (d *Detector) observe(now time.Duration, e *endpoint, r openRequest, kind Kind, latency time.Duration) bool {
+// observe adds one outcome to the evidence and the baselines, and returns its evidence before the comparison
+// with peers.
+func (d *Detector) observe(now time.Duration, e *endpoint, r openRequest, kind Kind, latency time.Duration) float64 {
 	g := d.group(e.Zone)
 	c := class(r.long)
 	failed := kind != Success
@@ -187,9 +188,11 @@
 		g.service[c].add(latency, sample)
 		g.total[c].add(now-r.begin, sample)
 	}
-	bad := failed || sample > badSample
-	e.countQuality(bad)
-	return bad
+	e.countQuality(failed || sample >= badSample)
+	if failed {
+		return max(sample, badSample)
+	}
+	return sample
 }
 
 // countQuality updates the share of good outcomes, which is the weight of a suspect.
@@ -309,7 +312,11 @@
 		return
 	}
 	p := d.peers(now, e, v.since)
-	v.settle(v.compared(p, d.failures), scoreLimit*d.settings.EjectScore)
+	limit := scoreLimit * d.settings.EjectScore
+	if p.few() {
+		limit = max(v.settled, d.settings.EjectScore-1)
+	}
+	v.settle(v.compared(p, d.failures), limit)
 }
 
 // relative is the evidence against the endpoint beyond what its peers show in the same time.
@@ -329,7 +336,7 @@
 	}
 	p := d.peers(now, e, since)
 	score := own.settled + own.compared(p, d.failures) + open.score - open.samples*p.excess(open.mean())
-	if p.outcomes+p.service.samples < minPeerSamples {
+	if p.few() {
 		// Without outcomes of peers there is nothing to compare with.
 		score = min(score, max(own.settled, d.settings.EjectScore-1))
 	}
@@ -367,6 +374,11 @@
 	return (p.failures + priorSamples*usual) / (p.outcomes + priorSamples)
 }
 
+// few reports whether there is too little to compare with.
+func (p *peerEvidence) few() bool {
+	return p.outcomes+p.service.samples < minPeerSamples
+}
+
 // excess is what is subtracted for each outcome that is not a failure. Latency is compared with all peers and with
 // those in the same zone, if there are any.
 func (p *peerEvidence) excess(own float64) float64 {
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -38,8 +38,8 @@
 
 // Defaults of Settings.
 const (
-	DefaultSuspectScore  = 9.0
-	DefaultEjectScore    = 18.0
+	DefaultSuspectScore  = 10.0
+	DefaultEjectScore    = 22.0
 	DefaultStallScore    = 16.0
 	DefaultHoldOff       = 2 * time.Second
 	DefaultHoldOffMax    = 5 * time.Minute
@@ -156,6 +156,7 @@
 	probing     bool
 	probe       uint64
 	passes      int
+	probeScore  float64
 	badProbes   int
 	quality     float64
 	reason      string
@@ -264,10 +265,9 @@
 		e.flaps = min(e.flaps+1, maxFlaps)
 		e.until = now + d.holdOff(e)
 		e.evidence, e.score = evidence{}, 0
-		e.passes = 0
 		e.ramps = false
 	case Probation:
-		e.passes = 0
+		e.passes, e.probeScore = 0, 0
 	case Ramping:
 		e.evidence, e.score = evidence{}, 0
 		e.startRamp(now)
@@ -320,12 +320,12 @@
 		return nil
 	}
 	d.countUnanswered(now, e, r, kind)
-	bad := d.observe(now, e, r, kind, latency)
+	sample := d.observe(now, e, r, kind, latency)
 	if probe {
-		e.countProbe(bad)
+		e.countProbe(sample >= badSample)
 	}
 	if probe && e.state == Probation {
-		return d.endProbe(now, e, bad)
+		return d.endProbe(now, e, sample)
 	}
 	return d.judge(nil, now, e)
 }
@@ -359,15 +359,19 @@
 	e.badProbes = min(e.badProbes+1, maxProbeDoublings)
 }
 
-func (d *Detector) endProbe(now time.Duration, e *endpoint, bad bool) []Transition {
-	if bad && d.peersAreGood(now, e) {
-		return d.move(nil, now, e, triggerEject, ReasonProbe)
-	}
-	if bad {
+// endProbe judges the probes of a probation together: one slow answer is no failure, and three answers that are all
+// rather slow are no success.
+func (d *Detector) endProbe(now time.Duration, e *endpoint, sample float64) []Transition {
+	e.probeScore += sample
+	if e.probeScore >= badSample {
+		if d.peersAreGood(now, e) {
+			return d.move(nil, now, e, triggerEject, ReasonProbe)
+		}
+		e.probeScore, e.passes = 0, 0
 		return nil
 	}
 	e.passes++
-	if e.passes < probesToPass {
+	if e.passes < probesToPass || e.probeScore > 0 {
 		return nil
 	}
 	return d.move(nil, now, e, triggerPass, ReasonProbes)
