Use the boot-time clock in running nodes and fetch newer recorder groups

Go's monotonic clock stands still while a host is suspended, so a suspension would neither count as a pause nor use up a claim window.

A node whose recorder group is behind now fetches from a peer, the status shows the age of the latest read of the service, and old crash suspects expire.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -1,14 +1,20 @@
 // Package clock gives monotonic time to the duties of a node and detects pauses of the process.
 package clock
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock reads monotonic time as the duration since an arbitrary start.
 type Clock interface {
 	Now() time.Duration
 }
 
-// Monotonic is the process clock. It is not affected by changes of the wall clock.
+// Monotonic is Go's monotonic clock. It is not affected by changes of the wall clock, and it can be faked by
+// testing/synctest, but it stands still while the host is suspended.
 type Monotonic struct {
 	start time.Time
 }
@@ -23,6 +29,32 @@
 	return time.Since(m.start)
 }
 
+// Boot is the clock of a running node. It goes on while the host is suspended, so that a suspension counts as a pause
+// and claim windows do not stretch.
+type Boot struct {
+	start time.Duration
+}
+
+// NewBoot returns a clock that starts at zero.
+func NewBoot() *Boot {
+	return &Boot{start: bootTime()}
+}
+
+// Now returns the time since the clock was created.
+func (b *Boot) Now() time.Duration {
+	return bootTime() - b.start
+}
+
+// bootTime returns the time since the host booted. The call fails only if the kernel lacks the clock, which every
+// supported version has.
+func bootTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(fmt.Sprintf("read boot-time clock: %v", err))
+	}
+	return time.Duration(now.Nano())
+}
+
 // PauseDetector reports turns of a periodic loop that came much later than planned, as they do when the process was
 // stopped or the host was frozen. It is not safe for concurrent use.
 type PauseDetector struct {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/qmuntal/stateless"
@@ -86,7 +87,7 @@
 		logger:      log.Logger(),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
-		clock:       clock.NewMonotonic(),
+		clock:       clock.NewBoot(),
 		kernel:      kernel.New(),
 		life:        newLifeCycle(),
 		telemetry:   tele,
@@ -160,9 +161,17 @@
 		Current:     n.store.Current,
 		Clock:       n.clock,
 		Logger:      n.logger,
+		Behind:      n.refreshFromPeer,
 	})
 }
 
+// refreshFromPeer fetches the configuration from a random peer, because another one has shown a newer version.
+func (n *Node) refreshFromPeer() {
+	if peers := n.peers.Peers(); len(peers) > 0 {
+		n.syncer.Refresh(peers[rand.IntN(len(peers))])
+	}
+}
+
 func (n *Node) newOwner() *owner.Owner {
 	return owner.New(owner.Options{
 		Host:        n.settings.HostID,
@@ -238,6 +247,7 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	n.fire(triggerStarted)
+	go n.suspects.run(ctx)
 	if err := n.join(ctx); err != nil {
 		return errors.Join(err, n.stop())
 	}
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -51,6 +51,9 @@
 
 func (n *Node) configurationStatus(snapshot *config.Snapshot) admin.ConfigurationStatus {
 	status := admin.ConfigurationStatus{Version: snapshot.Version(), Digest: snapshot.Digest(), ReadAgeSeconds: -1}
+	if age := n.syncer.Summary().ReadAgeMS; age != configstore.UnknownAge {
+		status.ReadAgeSeconds = float64(age) / 1000
+	}
 	for _, alarm := range n.store.Alarms() {
 		status.Alarms = append(status.Alarms, admin.Alarm{
 			Name: "configuration-conflict",
--- a/pkg/node/suspects.go
+++ b/pkg/node/suspects.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -116,6 +117,14 @@
 // expirePeriod is how often old fingerprints are forgotten.
 const expirePeriod = time.Minute
 
+// run forgets old fingerprints until the context ends.
+func (s *suspects) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expirePeriod)
+		s.expire()
+	}
+}
+
 // expire forgets fingerprints that no longer matter.
 func (s *suspects) expire() {
 	s.mu.Lock()
