--- a/bench/configmem/main.go
+++ b/bench/configmem/main.go
@@ -3,19 +3,24 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/configstore"
 )
 
 type options struct {
-	Repeat int `long:"repeat" description:"number of runs of each timed step; the shortest counts" default:"3"`
+	Repeat int    `long:"repeat" description:"number of runs of each timed step; the shortest counts" default:"3"`
+	Peak   string `long:"peak" description:"measure the largest resident size while versions are adopted in this way" choice:"delta" choice:"text"`
 }
 
 // size is the number of entries of a document.
@@ -48,12 +53,19 @@
 }
 
 func run(o options) error {
+	if o.Peak != "" {
+		return printPeak(o.Peak)
+	}
 	fmt.Printf("%s %s/%s, %d processors\n\n", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
 	if err := printSlopes(); err != nil {
 		return err
 	}
 	fmt.Println()
-	return printWhole(o)
+	if err := printWhole(o); err != nil {
+		return err
+	}
+	fmt.Println()
+	return printTransfer(o)
 }
 
 // printSlopes varies one kind of entry at a time and prints the heap bytes per entry of that kind.
@@ -113,6 +125,160 @@
 	return nil
 }
 
+// printTransfer compares the two ways in which a node gets a new version at full size: the delta and the whole document.
+func printTransfer(o options) error {
+	base, err := config.Load(generate(fullSize))
+	if err != nil {
+		return err
+	}
+	fmt.Println("| changed entries | delta bytes | compressed | make | apply | whole bytes | compressed | parse | parse next |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, changes := range []int{1, 10, 100, 1000, 10_000, 100_000, 320_000} {
+		document := generate(fullSize)
+		document.Version.Sequence = 2
+		for i := range changes {
+			document.Workspaces[i*(fullSize.workspaces/changes)].MaxInFlight = 99
+		}
+		next, err := config.Load(document)
+		if err != nil {
+			return err
+		}
+		if err := printTransferLine(o, changes, base, next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printTransferLine(o options, changes int, base, next *config.Snapshot) error {
+	var delta *config.Delta
+	takeDelta := o.shortest(func() error { delta = config.NewDelta(base, next); return nil })
+	text, err := json.Marshal(delta)
+	if err != nil {
+		return err
+	}
+	packed, err := config.Compress(text)
+	if err != nil {
+		return err
+	}
+	apply := o.shortest(func() error { _, err := config.Apply(base, delta); return err })
+	whole, err := config.Canonical(next.Document())
+	if err != nil {
+		return err
+	}
+	parse := o.shortest(func() error { _, err := config.Parse(whole); return err })
+	parseNext := o.shortest(func() error { _, err := config.ParseNext(base, whole); return err })
+	total := 0
+	_, pieces := config.Split(next.Version(), whole)
+	for _, piece := range pieces {
+		data, err := config.Compress(piece.Data)
+		if err != nil {
+			return err
+		}
+		total += len(data)
+	}
+	fmt.Printf("| %d | %d | %d | %v | %v | %d | %d in %d pieces | %v | %v |\n", changes, len(text), len(packed), takeDelta, apply,
+		len(whole), total, len(pieces), parse, parseNext)
+	return nil
+}
+
+// adoptions is the number of versions adopted for the peak.
+const adoptions = 5
+
+// printPeak adopts versions at full size in a store and prints the largest resident size of the process. The documents
+// come from files, so that making them does not count.
+func printPeak(way string) error {
+	directory, err := os.MkdirTemp("", "configmem")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(directory)
+	if err := writeVersions(directory); err != nil {
+		return err
+	}
+	debug.FreeOSMemory()
+	// A write of 5 resets the peak of the resident size.
+	if err := os.WriteFile("/proc/self/clear_refs", []byte("5"), 0); err != nil {
+		return err
+	}
+	store := configstore.New(slog.New(slog.DiscardHandler))
+	for i := range adoptions {
+		if err := adopt(store, directory, i, way); err != nil {
+			return err
+		}
+	}
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d versions adopted by %s, GOMEMLIMIT %q\n", adoptions, way, os.Getenv("GOMEMLIMIT"))
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "VmHWM") {
+			fmt.Print(line)
+		}
+	}
+	fmt.Println("live heap bytes:", liveHeap())
+	runtime.KeepAlive(store)
+	return nil
+}
+
+func adopt(store *configstore.Store, directory string, i int, way string) error {
+	name := "text"
+	if i > 0 {
+		name = way
+	}
+	data, err := os.ReadFile(fmt.Sprintf("%s/%d.%s", directory, i, name))
+	if err != nil {
+		return err
+	}
+	if name == "text" {
+		_, err := store.Offer(configstore.SourceService, data)
+		return err
+	}
+	delta := new(config.Delta)
+	if err := json.Unmarshal(data, delta); err != nil {
+		return err
+	}
+	next, err := config.Apply(store.Current(), delta)
+	if err != nil {
+		return err
+	}
+	store.OfferSnapshot(configstore.PeerSource("peer"), next)
+	return nil
+}
+
+// writeVersions writes the text of each version and its delta to the one before.
+func writeVersions(directory string) error {
+	var last *config.Snapshot
+	for i := range adoptions {
+		document := generate(fullSize)
+		document.Version.Sequence = uint64(i + 1)
+		document.Workspaces[i].MaxInFlight = 99
+		next, err := config.Load(document)
+		if err != nil {
+			return err
+		}
+		text, err := config.Canonical(document)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(fmt.Sprintf("%s/%d.text", directory, i), text, 0o600); err != nil {
+			return err
+		}
+		if last != nil {
+			delta, err := json.Marshal(config.NewDelta(last, next))
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(fmt.Sprintf("%s/%d.delta", directory, i), delta, 0o600); err != nil {
+				return err
+			}
+		}
+		last = next
+	}
+	return nil
+}
+
 // shortest returns the shortest time of several runs. A failure ends the program, because the step must succeed on a
 // generated document.
 func (o options) shortest(step func() error) time.Duration {
