Export the configuration in force, dropped decision lines and peer traffic

The instruments existed and nothing called them. The added time of a request was recorded as zero, which would have passed for a measurement; it is now left out until it is measured. The status shows the age of the latest read.

--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -28,6 +28,8 @@
 	bodyPrefixBytes   = 64 << 10
 	bodyReadTimeout   = 10 * time.Second
 	retryAfterSeconds = "1"
+	// addedUnknown tells the metrics that the part of the duration spent outside the backend server is not known.
+	addedUnknown = -1
 	// maxKeyLength bounds idempotency keys.
 	maxKeyLength = 256
 )
@@ -187,7 +189,7 @@
 		i.recordCut(r, a, err)
 		return
 	}
-	i.options.Metrics.Request(r.service.Name, outcome.Answered, took, 0)
+	i.options.Metrics.Request(r.service.Name, outcome.Answered, took, addedUnknown)
 }
 
 // recordCut records an answer that did not reach the caller in full.
@@ -198,7 +200,7 @@
 		reason = outcome.ReasonBodyCut
 		a.cut = true
 	}
-	i.options.Metrics.Request(r.service.Name, outcome.Unknown, time.Since(r.arrived), 0)
+	i.options.Metrics.Request(r.service.Name, outcome.Unknown, time.Since(r.arrived), addedUnknown)
 	i.options.Decisions.Record(decision.Decision{
 		RequestID: r.id, Step: stepRespond, Service: r.service.Name, Route: r.route.ID,
 		Taken: a.endpoint, Outcome: string(outcome.Unknown), Reason: string(reason), Peer: err.Error(),
@@ -248,7 +250,7 @@
 	}
 	if r != nil {
 		d.Service, d.Route = r.service.Name, r.route.ID
-		i.options.Metrics.Request(d.Service, failure.Outcome, time.Since(r.arrived), 0)
+		i.options.Metrics.Request(d.Service, failure.Outcome, time.Since(r.arrived), addedUnknown)
 	}
 	i.options.Metrics.Refused(d.Service, failure.Reason)
 	i.options.Decisions.Record(d)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,7 +104,7 @@
 		Status: n, Readiness: n, Explainer: n.decisions, Metrics: tele.Handler(),
 	}, n.logger)
 	answerInquiries(n.peers, n.owner)
-	return n, n.register()
+	return n, errors.Join(n.register(), n.observeMetrics())
 }
 
 func (n *Node) newPeers() *peer.Service {
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -50,7 +50,7 @@
 }
 
 func (n *Node) configurationStatus(snapshot *config.Snapshot) admin.ConfigurationStatus {
-	status := admin.ConfigurationStatus{Version: snapshot.Version(), Digest: snapshot.Digest(), ReadAgeSeconds: -1}
+	status := admin.ConfigurationStatus{Version: snapshot.Version(), Digest: snapshot.Digest(), ReadAgeSeconds: n.readAge().Seconds()}
 	for _, alarm := range n.store.Alarms() {
 		status.Alarms = append(status.Alarms, admin.Alarm{
 			Name: "configuration-conflict",
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"agatepulley.example/agatepulley/pkg/outcome"
@@ -32,7 +33,7 @@
 type ConfigState struct {
 	Epoch    uint64
 	Sequence uint64
-	// Age is the time since the latest confirmed read from the configuration service.
+	// Age is the time since the latest confirmed read from the configuration service, or negative if none is known.
 	Age time.Duration
 	// Alarms is the number of alarms raised by configuration tasks and still open.
 	Alarms int
@@ -225,6 +226,35 @@
 	return m.register(func(o metric.Observer) { o.ObserveInt64(dropped, int64(source())) }, dropped)
 }
 
+// PeerTraffic counts the frames of the peer protocol.
+type PeerTraffic struct {
+	SentMessages, SentBytes, ReceivedMessages, ReceivedBytes uint64
+}
+
+// ObservePeerTraffic exports the traffic of the peer protocol.
+func (m *Metrics) ObservePeerTraffic(source func() PeerTraffic) error {
+	if m == nil {
+		return nil
+	}
+	counters := make([]metric.Int64ObservableCounter, 0, 2)
+	for _, name := range []string{"agatepulley_peer_frames", "agatepulley_peer_frame_bytes"} {
+		counter, err := m.meter.Int64ObservableCounter(name, metric.WithDescription("Frames of the peer protocol by direction."))
+		if err != nil {
+			return fmt.Errorf("create instrument %s: %w", name, err)
+		}
+		counters = append(counters, counter)
+	}
+	in := metric.WithAttributes(attribute.String("direction", DirectionIn))
+	out := metric.WithAttributes(attribute.String("direction", DirectionOut))
+	return m.register(func(o metric.Observer) {
+		traffic := source()
+		o.ObserveInt64(counters[0], int64(traffic.ReceivedMessages), in)
+		o.ObserveInt64(counters[0], int64(traffic.SentMessages), out)
+		o.ObserveInt64(counters[1], int64(traffic.ReceivedBytes), in)
+		o.ObserveInt64(counters[1], int64(traffic.SentBytes), out)
+	}, counters[0], counters[1])
+}
+
 // ObserveGauge exports a value that the source computes at each export, such as the requests in flight.
 func (m *Metrics) ObserveGauge(name, description string, source func() float64) error {
 	if m == nil {
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -35,6 +35,9 @@
 	g.Expect(m.ObserveConfig(func() telemetry.ConfigState {
 		return telemetry.ConfigState{Epoch: 1, Sequence: 7, Age: 2 * time.Second}
 	})).To(gomega.Succeed())
+	g.Expect(m.ObservePeerTraffic(func() telemetry.PeerTraffic {
+		return telemetry.PeerTraffic{SentMessages: 4, SentBytes: 1800}
+	})).To(gomega.Succeed())
 	text := export(g, tel)
 	for _, line := range []string{
 		`agatepulley_requests_total{outcome="answered",service="desk"} 1`,
@@ -42,6 +45,8 @@
 		`agatepulley_added_time_seconds_bucket{outcome="answered",service="desk",le="0.0003"} 1`,
 		`agatepulley_request_duration_seconds_count{outcome="unknown",service="desk"} 1`,
 		`agatepulley_peer_bytes_total{direction="out",method="peer.exchange"} 420`,
+		`agatepulley_peer_frames_total{direction="out"} 4`,
+		`agatepulley_peer_frame_bytes_total{direction="out"} 1800`,
 		`agatepulley_decision_lines_dropped_total 3`,
 		`agatepulley_config_sequence 7`,
 		`agatepulley_config_age_seconds 2`,
