--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -113,7 +113,7 @@
 	}, n.logger)
 	answerInquiries(n.peers, n.owner)
 	n.subscribe()
-	return n, n.register()
+	return n, errors.Join(n.register(), n.observeMetrics())
 }
 
 func (n *Node) newPeers() *peer.Service {
