Prove that a crashing request costs at most two backend servers

The caller sends the request ten times through one ingress before four backend servers, with innocent requests between. Two are lost, the request is then refused as quarantined, and all 100 innocent requests are answered.

--- /dev/null
+++ b/pkg/node/crash_test.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/outcome"
+)
+
+// crashingBackend is a backend server that stops for good when it runs a request whose path contains "poison".
+type crashingBackend struct {
+	server  *httptest.Server
+	crashed atomic.Bool
+}
+
+func newCrashingBackend() *crashingBackend {
+	b := &crashingBackend{}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, "poison") {
+			b.crashed.Store(true)
+			_ = b.server.Listener.Close()
+			b.server.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+		// Innocent requests last long enough to be in flight when the backend server crashes.
+		time.Sleep(time.Millisecond)
+		_, _ = fmt.Fprint(w, "ok")
+	}))
+	DeferCleanup(b.server.CloseClientConnections)
+	return b
+}
+
+// Guards against a request that takes down one backend server after the other while its caller sends it again, and
+// against innocent requests that are refused because they shared a backend server with it.
+var _ = Describe("a request that crashes backend servers", func() {
+	It("costs at most two of them, and others are served", func() {
+		const owners = 4
+		document := &config.Document{Format: config.Format, Version: config.Version{Epoch: 1, Sequence: 1}}
+		service := config.Service{Name: "s", Claims: config.ClaimSettings{WindowMS: 5000, Generation: 1, Recorders: []string{"h0"}}}
+		ingress := newSettings("h0", "z1", "--config-service", "127.0.0.1:1")
+		document.Hosts = append(document.Hosts, hostOf(ingress))
+		var backends []*crashingBackend
+		var nodes []*testNode
+		var started []func()
+		for n := 1; n <= owners; n++ {
+			id := fmt.Sprintf("h%d", n)
+			backend := newCrashingBackend()
+			backends = append(backends, backend)
+			s := newSettings(id, "z1", "--config-service", "127.0.0.1:1", "--backend", "e"+id+"="+backend.server.Listener.Addr().String())
+			document.Hosts = append(document.Hosts, hostOf(s))
+			service.Endpoints = append(service.Endpoints, config.Endpoint{ID: "e" + id, Host: id, Slots: 3})
+			started = append(started, func() { nodes = append(nodes, startNode(s, document)) })
+		}
+		document.Services = []config.Service{service}
+		document.Routes = []config.Route{{ID: "all", PathPrefix: "/", Service: "s", Repeatable: true}}
+		for _, start := range started {
+			start()
+		}
+		startNode(ingress, document)
+		crashed := func() int {
+			count := 0
+			for _, b := range backends {
+				if b.crashed.Load() {
+					count++
+				}
+			}
+			return count
+		}
+		get := func(path string) (int, string) {
+			response, err := client().Get("http://" + ingress.Listen + path)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			return response.StatusCode, response.Header.Get(outcome.HeaderReason)
+		}
+		var reason string
+		for range 10 {
+			_, reason = get("/poison")
+			for n := range 10 {
+				status, _ := get(fmt.Sprintf("/innocent/%d", n))
+				Expect(status).To(Equal(http.StatusOK))
+			}
+		}
+		Expect(crashed()).To(Equal(2))
+		Expect(reason).To(Equal(string(outcome.ReasonQuarantined)))
+	})
+})
