--- a/bench/model/model.go
+++ b/bench/model/model.go
@@ -18,11 +18,14 @@
 // Model is one run.
 type Model struct {
 	engine
-	service   Service
-	load      Load
-	policy    Policy
-	seed      uint64
-	rng       *rand.Rand
+	service Service
+	load    Load
+	policy  Policy
+	seed    uint64
+	rng     *rand.Rand
+	// The demand has random sources of its own, so that it is the same for all policies.
+	shortRNG  *rand.Rand
+	longRNG   *rand.Rand
 	owners    []*owner
 	ingresses []*ingress
 	packed    []int
@@ -34,6 +37,7 @@
 // Run runs the model and returns its figures.
 func Run(s Service, l Load, p Policy, seed uint64) *Result {
 	m := &Model{service: s, load: l, policy: p, seed: seed, rng: rand.New(rand.NewPCG(seed, 1))}
+	m.shortRNG, m.longRNG = rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	m.Result = newResult(m)
 	for i := range s.Endpoints {
 		m.owners = append(m.owners, newOwner(m, i))
@@ -45,9 +49,9 @@
 	for i := range s.Ingresses {
 		m.ingresses = append(m.ingresses, newIngress(m, i))
 	}
-	m.after(m.interval(l.PeakRate), m.arriveShort)
+	m.after(interval(m.shortRNG, l.PeakRate), m.arriveShort)
 	if l.LongRate > 0 {
-		m.after(m.interval(l.LongRate), m.arriveLong)
+		m.after(interval(m.longRNG, l.LongRate), m.arriveLong)
 	}
 	if len(l.Cold) > 0 {
 		m.after(l.Warmup, m.configureAll)
@@ -79,8 +83,8 @@
 	slices.SortFunc(list, func(a, b *attempt) int { return int(a.number) - int(b.number) })
 }
 
-func (m *Model) interval(rate float64) time.Duration {
-	return time.Duration(m.rng.ExpFloat64() / rate * float64(time.Second))
+func interval(rng *rand.Rand, rate float64) time.Duration {
+	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 }
 
 // arriveShort thins arrivals at the peak rate to the current rate.
@@ -88,9 +92,9 @@
 	if m.now > m.load.End {
 		return
 	}
-	m.after(m.interval(m.load.PeakRate), m.arriveShort)
-	if m.rng.Float64()*m.load.PeakRate < m.load.Rate(m.now) {
-		m.arrive(false, m.service.Deadline)
+	m.after(interval(m.shortRNG, m.load.PeakRate), m.arriveShort)
+	if m.shortRNG.Float64()*m.load.PeakRate < m.load.Rate(m.now) {
+		m.arrive(m.shortRNG, false, m.service.Deadline)
 	}
 }
 
@@ -98,15 +102,15 @@
 	if m.now > m.load.End {
 		return
 	}
-	m.after(m.interval(m.load.LongRate), m.arriveLong)
-	m.arrive(true, m.service.LongDeadline)
+	m.after(interval(m.longRNG, m.load.LongRate), m.arriveLong)
+	m.arrive(m.longRNG, true, m.service.LongDeadline)
 }
 
-func (m *Model) arrive(long bool, deadline time.Duration) {
+func (m *Model) arrive(rng *rand.Rand, long bool, deadline time.Duration) {
 	m.requests++
-	in := m.ingresses[m.rng.IntN(len(m.ingresses))]
-	r := &request{ingress: in, number: m.requests, long: long, normal: m.rng.NormFloat64(), begin: m.now}
-	r.repeatable = m.rng.Float64() < m.service.Repeatable
+	in := m.ingresses[rng.IntN(len(m.ingresses))]
+	r := &request{ingress: in, number: m.requests, long: long, normal: rng.NormFloat64(), begin: m.now}
+	r.repeatable = rng.Float64() < m.service.Repeatable
 	r.deadline = m.now + deadline
 	m.Result.arrive(r)
 	m.after(m.service.CallerDelay, func() { in.serve(r) })
--- a/bench/policies/serve.go
+++ b/bench/policies/serve.go
@@ -36,15 +36,17 @@
 	}
 	none, reserve, packed, both, fcfs := product(), product(), product(), product(), baseline()
 	none.Bounces, reserve.Bounces, packed.Bounces, both.Bounces = 0, 0, 0, 0
-	once, twice := product(), product()
+	once, twice, packedOnce := product(), product(), product()
 	once.Bounces, twice.Bounces = 1, 2
 	none.LongReserve = 0
 	packed.LongReserve, packed.Pack = 0, packedEndpoints(s, load*share)
 	both.Pack = 2 * packedEndpoints(s, load*share)
+	packedOnce.Pack = both.Pack
 	fcfs.Consecutive, fcfs.AttemptTimeout = 0, 0
 	results := parallel([]func() *model.Result{
 		job(fcfs, 0), job(fcfs, long), job(reserve, 0), job(none, long), job(reserve, long), job(packed, long), job(both, long),
 		job(once, 0), job(once, long), job(twice, 0), job(twice, long),
+		job(packedOnce, 0), job(packedOnce, long),
 	})
 	name := fmt.Sprintf("M4 %s load %.1f+%.2f", s.Name, load, load*share)
 	reference := results[2]
@@ -55,14 +57,14 @@
 		line(name+" "+label+" p99 wait", ms(model.Quantile(r.ShortWaits, 0.99)), "ms", ms(model.Quantile(b.ShortWaits, 0.99)))
 		line(name+" "+label+" p99 ratio", ratio(r, reference), "x without long", ratio(b, results[0]))
 		line(name+" "+label+" p99 latency", ms(model.Quantile(r.Latencies, 0.99)), "ms", ms(model.Quantile(b.Latencies, 0.99)))
-		line(name+" "+label+" bounces per request", per(r.Bounces, r.Requests), "messages", "0")
+		line(name+" "+label+" refusals as busy per request", per(r.Bounces, r.Requests), "messages", "0")
 		line(name+" "+label+" long answered", r.LongAnswered, "requests", b.LongAnswered)
 		line(name+" "+label+" not answered", r.Failed, "requests", b.Failed)
 	}
 	for i, label := range []string{"no separation", "reserved slot", "packed", "packed and reserved"} {
 		compare(label, results[3+i], reference)
 	}
-	for i, label := range []string{"reserved slot, one busy refusal", "reserved slot, two busy refusals"} {
+	for i, label := range []string{"reserved slot, one busy refusal", "reserved slot, two busy refusals", "packed, reserved, one busy refusal"} {
 		r := results[7+2*i : 9+2*i]
 		line(name+" "+label+" p99 wait without long", ms(model.Quantile(r[0].ShortWaits, 0.99)), "ms", ms(model.Quantile(results[0].ShortWaits, 0.99)))
 		compare(label, r[1], r[0])
