Exclude pauses of the process from the evidence and measure a decision

Cause: after a pause all open requests look old. Detector.Paused moves their start; the test fails without it.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -405,6 +405,18 @@
 	return changes
 }
 
+// Paused tells the detector that this process did not run for the given time before now. The time does not count as
+// time in which endpoints failed to answer, and outcomes that were not yet compared with peers are dropped.
+func (d *Detector) Paused(now, pause time.Duration) {
+	for _, e := range d.active {
+		for i := range e.open {
+			e.open[i].begin = min(e.open[i].begin+pause, now)
+		}
+		e.evidence = evidence{settled: e.evidence.settled, at: now}
+		e.unanswered = stallEvidence{}
+	}
+}
+
 // Tick advances time: it judges requests that are still open, ends hold-off times and ramps. Its cost grows with the
 // number of endpoints that are in use or not healthy.
 func (d *Detector) Tick(now time.Duration) []Transition {
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"agatepulley.example/agatepulley/core/balance"
 )
 
 func TestMain(m *testing.M) {
@@ -395,3 +397,64 @@
 	}
 	g.Expect(w.d.View(w.now, "e0").State).To(gomega.Equal(Healthy))
 }
+
+// Guards against a pause of the process that counts as a stall of the endpoint whose requests were open.
+func TestPauseIsNoStall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(10, 0, 1)
+	w.warm(1000)
+	for i := range uint64(5) {
+		w.d.Begin(w.now, "e0", 1<<40+i, false)
+	}
+	w.now += 10 * time.Second
+	w.d.Paused(w.now, 10*time.Second)
+	w.warm(2)
+	g.Expect(w.d.View(w.now, "e0").State).To(gomega.Equal(Healthy))
+	g.Expect(w.d.StallScore(w.now, "e0")).To(gomega.BeZero())
+}
+
+// BenchmarkDecision measures one routing decision with its health views, by the number of endpoints of the service.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10_000} {
+		w := newWorld(n, 50, 1)
+		w.warm(1000)
+		at := func(i int) balance.Candidate {
+			v := w.d.View(w.now, w.list[i].ID)
+			return balance.Candidate{Slots: 3, Weight: v.Weight, LastResort: v.LastResort}
+		}
+		source := balance.Source{Local: n / 3, Total: n, At: at}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.d.NextProbe(w.now)
+				balance.ChooseFrom(w.rng, balance.Settings{}, source, balance.Request{})
+			}
+		})
+	}
+}
+
+// BenchmarkRequest measures the cost of recording one request.
+func BenchmarkRequest(b *testing.B) {
+	w := newWorld(1000, 50, 1)
+	w.warm(10_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.next++
+		id := w.list[w.next%1000].ID
+		w.now += time.Millisecond
+		w.d.Begin(w.now-normalLatency, id, w.next, false)
+		w.d.End(w.now, id, w.next, Success, normalLatency)
+		if w.next%100 == 0 {
+			w.d.Tick(w.now)
+		}
+	}
+}
+
+// BenchmarkSetEndpoints measures the adoption of a configuration; its allocations are the memory of the endpoints.
+func BenchmarkSetEndpoints(b *testing.B) {
+	list := endpoints(10_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		NewDetector("s", Settings{}).SetEndpoints(0, list, 50)
+	}
+}
