Measure connection pings, one node with the full document, and stalled services

Pings on idle inner connections were computed only.

One node process with the full document was only computed (240 MB).

--- a/bench/capacity/health.go
+++ b/bench/capacity/health.go
@@ -103,16 +103,17 @@
 	return 100 * float64(used) / float64(time.Since(start)), err
 }
 
-// measureUsed measures the tick of one service's detector by the number of endpoints that have a request in flight, both
-// while the requests are as old as usual and while all of them are late.
+// measureUsed measures the tick of one service's detector by the number of endpoints that have requests in flight: as old
+// as usual, late, and three late ones each, from which on the detector compares each endpoint with all others.
 func measureUsed(o *options) error {
 	for _, load := range []struct {
 		name string
 		age  time.Duration
-	}{{"usual", serviceTime / 2}, {"late", 10 * serviceTime}} {
+		open int
+	}{{"usual", serviceTime / 2, 1}, {"late", 10 * serviceTime, 1}, {"late, 3 each", 10 * serviceTime, 3}} {
 		var ticks []point
 		for _, used := range []int{10, 125, 250, 500, 1000} {
-			share, err := tickShare(o, used, load.age)
+			share, err := tickShare(o, used, load.open, load.age)
 			if err != nil {
 				return err
 			}
@@ -132,11 +133,13 @@
 }
 
 // tickShare returns the processor time of the ticks of a detector with 1,000 endpoints as a share of a core, in percent.
-func tickShare(o *options, used int, age time.Duration) (float64, error) {
+func tickShare(o *options, used, open int, age time.Duration) (float64, error) {
 	d := newDetector(1000)
 	const start = time.Minute
 	for i := range used {
-		d.Begin(start, endpointID(i), uint64(i+1), false)
+		for n := range open {
+			d.Begin(start, endpointID(i), uint64(open*i+n+1), false)
+		}
 	}
 	const rounds = 20
 	now := start + age
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -48,6 +48,8 @@
 	{"peers", measurePeers},
 	{"transfer", measureTransfer},
 	{"decisions", measureDecisions},
+	{"connections", measureConnections},
+	{"node", measureNode},
 	{"processes", measureProcesses},
 }
 
