--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -18,7 +18,7 @@
 	"agatepulley.example/agatepulley/pkg/ring"
 )
 
-// Request names an attempt to run a request. Attempts must be unique: each one is claimed at most once.
+// Request names an attempt to run a request. A node must claim each attempt at most once.
 type Request struct {
 	Service string
 	Key     string
@@ -85,6 +85,9 @@
 	counters counters
 	notices  *ring.Ring[notice]
 
+	// pending is the number of notices queued or being sent.
+	pending atomic.Int64
+
 	mu        sync.Mutex
 	applied   *config.Snapshot
 	recorders map[string]*recorder
@@ -121,8 +124,9 @@
 	return nil
 }
 
-// Stop ends the tasks. Calls in progress are cancelled.
+// Stop sends the queued releases and completions, for a limited time, and ends the tasks.
 func (s *Service) Stop(ctx context.Context) error {
+	s.flush(ctx)
 	s.cancel()
 	done := make(chan struct{})
 	go func() {
@@ -158,7 +162,7 @@
 
 // collect sends the claim to all members and waits for the decision.
 func (s *Service) collect(ctx context.Context, tally *once.Tally, snapshot *config.Snapshot, group once.Group, r Request) once.Decision {
-	claim := group.Claim(once.HashID(r.Key), once.HashID(r.Attempt))
+	claim := group.Claim(once.HashID(r.Key), s.attemptID(r))
 	members := group.All()
 	ballots := make(chan ballot, len(members))
 	for _, member := range members {
@@ -190,6 +194,12 @@
 	return tally.Expire(tally.Started() + once.DispatchLimit)
 }
 
+// attemptID identifies an attempt among those of all nodes: two nodes that are given the same attempt, or a node that is
+// given it again after a restart, claim it as different ones.
+func (s *Service) attemptID(r Request) once.ID {
+	return once.HashID(fmt.Sprintf("%s/%d/%s", s.options.HostID, s.options.Incarnation, r.Attempt))
+}
+
 // ballot is the result of asking one member.
 type ballot struct {
 	member string
--- a/pkg/configstore/reader.go
+++ b/pkg/configstore/reader.go
@@ -23,6 +23,9 @@
 	minWatchInterval = 250 * time.Millisecond
 	// maxReaderSleep is how often a host that does not hold a watch looks at the age of the latest read.
 	maxReaderSleep = 500 * time.Millisecond
+	// ownReadLifetime is how long a host counts as reader after a read in place of another one. It is longer than the
+	// largest take-over age.
+	ownReadLifetime = 15 * time.Second
 )
 
 // join asks the seed peers and the service until the node has a configuration and every source has answered or failed
@@ -32,9 +35,7 @@
 		answered := s.askPeers(ctx, s.options.Seeds)
 		if s.options.Service != nil {
 			revision, err := s.readService(ctx)
-			if err != nil {
-				s.log.Warn("configuration read failed", "source", "service", "error", err)
-			}
+			s.noteOutcome(err)
 			s.revision = revision
 		}
 		if !answered {
@@ -47,10 +48,45 @@
 			return
 		}
 		s.log.Warn("no configuration yet", "seeds", len(s.options.Seeds), "service", s.options.Service != nil)
-		sleep(ctx, jitter(retryDelay))
+		s.awaitRetry(ctx)
+	}
+}
+
+// awaitRetry waits until the next attempt to join, or until a configuration has arrived in another way.
+func (s *Syncer) awaitRetry(ctx context.Context) {
+	timer := time.NewTimer(jitter(retryDelay))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.adopted:
 	}
 }
 
+// noteOutcome logs the first of a series of failed reads and the end of the series. The service may be down for hours.
+func (s *Syncer) noteOutcome(err error) {
+	switch {
+	case err != nil && !s.failing:
+		s.log.Warn("configuration read failed", "source", "service", "error", err)
+	case err == nil && s.failing:
+		s.log.Info("configuration service answers again")
+	}
+	s.failing = err != nil
+	if err == nil {
+		s.ownRead.Store(int64(s.options.Clock.Now()) + 1)
+	}
+}
+
+// Reads reports whether this host reads the platform for its zone: it holds a watch, or has lately read in place of
+// another host.
+func (s *Syncer) Reads() bool {
+	if configstate.Holds(s.rank()) {
+		return true
+	}
+	last := s.ownRead.Load()
+	return last > 0 && s.options.Clock.Now()-time.Duration(last) < ownReadLifetime
+}
+
 // askPeers asks peers one after the other and reports whether any of them answered. The second one only adds what the
 // first one lacks, so that no more than one whole document is transferred at a time.
 func (s *Syncer) askPeers(ctx context.Context, addresses []string) bool {
@@ -88,10 +124,10 @@
 		}
 		attempt = now
 		fraction = rand.Float64()
-		s.log.Info("reading the configuration service in place of another host", "rank", rank)
-		if err := s.readOnce(ctx, 0); err != nil {
-			s.log.Warn("configuration read failed", "source", "service", "error", err)
+		if !s.failing {
+			s.log.Info("reading the configuration service in place of another host", "rank", rank)
 		}
+		s.noteOutcome(s.readOnce(ctx, 0))
 	}
 }
 
@@ -127,8 +163,9 @@
 // watchOnce performs one watch and keeps a distance to the next one.
 func (s *Syncer) watchOnce(ctx context.Context) {
 	start := s.options.Clock.Now()
-	if err := s.readOnce(ctx, watchWait); err != nil {
-		s.log.Warn("configuration read failed", "source", "service", "error", err)
+	err := s.readOnce(ctx, watchWait)
+	s.noteOutcome(err)
+	if err != nil {
 		sleep(ctx, jitter(retryDelay))
 		return
 	}
@@ -188,7 +225,7 @@
 		s.store.reject(SourceService, offered)
 		return nil
 	}
-	snapshot, err := config.Assemble(manifest, func(ref config.PieceRef) ([]byte, error) { return s.readPiece(ctx, ref) })
+	snapshot, err := config.Assemble(s.store.Current(), manifest, func(ref config.PieceRef) ([]byte, error) { return s.readPiece(ctx, ref) })
 	if err != nil {
 		return fmt.Errorf("configuration from %s: %w", SourceService, err)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/qmuntal/stateless"
 
-	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
@@ -21,6 +21,7 @@
 	"agatepulley.example/agatepulley/pkg/httpserver"
 	"agatepulley.example/agatepulley/pkg/ingress"
 	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/news"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/platform"
@@ -35,6 +36,8 @@
 	serviceStore     = "config.store"
 	servicePeers     = "peer.network"
 	serviceSyncer    = "config.syncer"
+	serviceNews      = "news.store"
+	serviceHostList  = "platform.hosts"
 	serviceClaims    = "claims.recorder"
 	serviceOwner     = "owner"
 	serviceIngress   = "ingress"
@@ -63,6 +66,8 @@
 	peers     *peer.Service
 	syncer    *configstore.Syncer
 	suspects  *suspects
+	news      *news.Service
+	hostList  *hostList
 	claims    *claims.Service
 	owner     *owner.Owner
 	ingress   *ingress.Ingress
@@ -82,7 +87,7 @@
 		logger:      log.Logger(),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
-		clock:       clock.NewMonotonic(),
+		clock:       clock.NewBoot(),
 		kernel:      kernel.New(),
 		life:        newLifeCycle(),
 		telemetry:   tele,
@@ -91,10 +96,13 @@
 	}
 	n.suspects = newSuspects(n.clock, tele.Metrics())
 	n.suspects.serving = func(service string) []string { return n.ingress.Serving(service) }
-	n.suspects.publish = func(quarantine.Record) {}
+	n.suspects.publish = n.publishSuspect
+	n.news = news.New(news.Options{HostID: s.HostID, Incarnation: n.incarnation, Clock: n.clock, Logger: n.logger})
 	n.hosts = fleet.New(s.HostID, n.hostsChanged)
 	n.peers = n.newPeers()
+	n.news.SetNetwork(n.peers)
 	n.syncer = n.newSyncer()
+	n.hostList = newHostList(n)
 	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
@@ -104,7 +112,8 @@
 		Status: n, Readiness: n, Explainer: n.decisions, Metrics: tele.Handler(),
 	}, n.logger)
 	answerInquiries(n.peers, n.owner)
-	return n, n.register()
+	n.subscribe()
+	return n, errors.Join(n.register(), n.observeMetrics())
 }
 
 func (n *Node) newPeers() *peer.Service {
@@ -122,6 +131,7 @@
 		ObserveHost: func(host string, incarnation uint64, _, _ string) {
 			n.hosts.ObserveIncarnation(host, incarnation)
 		},
+		News:    n.news,
 		OnPause: n.paused,
 	})
 }
@@ -151,9 +161,17 @@
 		Current:     n.store.Current,
 		Clock:       n.clock,
 		Logger:      n.logger,
+		Behind:      n.refreshFromPeer,
 	})
 }
 
+// refreshFromPeer fetches the configuration from a random peer, because another one has shown a newer version.
+func (n *Node) refreshFromPeer() {
+	if peers := n.peers.Peers(); len(peers) > 0 {
+		n.syncer.Refresh(peers[rand.IntN(len(peers))])
+	}
+}
+
 func (n *Node) newOwner() *owner.Owner {
 	return owner.New(owner.Options{
 		Host:        n.settings.HostID,
@@ -164,6 +182,7 @@
 		Decisions:   n.decisions,
 		Clock:       n.clock,
 		Fresh:       n.fresh,
+		LoadChanged: n.publishLoad,
 		Paused:      n.paused,
 	})
 }
@@ -203,6 +222,8 @@
 		{serviceStore, n.store},
 		{servicePeers, n.peers},
 		{serviceSyncer, n.syncerService()},
+		{serviceNews, n.news},
+		{serviceHostList, n.hostList},
 		{serviceClaims, n.claims},
 		{serviceOwner, n.owner},
 		{serviceIngress, n.ingress},
@@ -226,6 +247,7 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	n.fire(triggerStarted)
+	go n.suspects.run(ctx)
 	if err := n.join(ctx); err != nil {
 		return errors.Join(err, n.stop())
 	}
@@ -249,6 +271,7 @@
 	}
 	n.owner.Open()
 	n.fire(triggerJoined)
+	n.publish(news.KindHost, n.settings.HostID, news.StateServing, nil)
 	return nil
 }
 
@@ -278,6 +301,7 @@
 // hostsChanged follows a change of a host's leaving state.
 func (n *Node) hostsChanged() {
 	n.peers.SetDirectory(n.hosts.Members())
+	n.owner.Drain(n.hosts.Leaving(n.settings.HostID))
 	n.ingress.Refresh()
 }
 
