Let owners refuse as busy, count long requests as missing slots

A request that was refused as busy by one owner and finds no other endpoint waits at the first; otherwise a service with one endpoint would refuse.

Tests of node, owner, ingress and health pass with the race detector.

--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -159,8 +159,8 @@
 
 // Default values of the settings groups.
 const (
-	DefaultSuspectScore     = 9.0
-	DefaultEjectScore       = 18.0
+	DefaultSuspectScore     = 10.0
+	DefaultEjectScore       = 22.0
 	DefaultHoldOff          = 2 * time.Second
 	DefaultHoldOffMax       = 5 * time.Minute
 	DefaultRamp             = 5 * time.Second
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,12 +29,16 @@
 	Fingerprint string
 	Repeatable  bool
 	Long        bool
+	// Elsewhere is set if the owner shall refuse the request as busy rather than let it wait, because the ingress can
+	// still try another endpoint.
+	Elsewhere bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 }
 
 const (
 	flagRepeatable = "repeatable"
+	flagElsewhere  = "elsewhere"
 	classLong      = "long"
 	classShort     = "short"
 )
@@ -47,6 +52,9 @@
 	if m.Repeatable {
 		class += "," + flagRepeatable
 	}
+	if m.Elsewhere {
+		class += "," + flagElsewhere
+	}
 	h.Set(outcome.HeaderRequestID, m.RequestID)
 	h.Set(outcome.HeaderHopAttempt, m.Attempt)
 	h.Set(outcome.HeaderHopService, m.Service)
@@ -66,7 +74,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read header %s: %w", outcome.HeaderDeadline, err)
 	}
-	class, flags, _ := strings.Cut(h.Get(outcome.HeaderHopClass), ",")
+	class := strings.Split(h.Get(outcome.HeaderHopClass), ",")
 	m := &Meta{
 		RequestID:   h.Get(outcome.HeaderRequestID),
 		Attempt:     h.Get(outcome.HeaderHopAttempt),
@@ -75,8 +83,9 @@
 		Route:       h.Get(outcome.HeaderHopRoute),
 		Key:         h.Get(outcome.HeaderKey),
 		Fingerprint: h.Get(outcome.HeaderHopFingerprint),
-		Repeatable:  flags == flagRepeatable,
-		Long:        class == classLong,
+		Repeatable:  slices.Contains(class, flagRepeatable),
+		Elsewhere:   slices.Contains(class, flagElsewhere),
+		Long:        slices.Contains(class, classLong),
 		Remaining:   time.Duration(remaining) * time.Millisecond,
 	}
 	if m.Attempt == "" || m.Endpoint == "" {
@@ -98,8 +107,10 @@
 
 // Load is the owner's report on an endpoint. It accompanies each of its answers.
 type Load struct {
-	State       State
-	Busy        int
+	State State
+	Busy  int
+	// LongBusy is the number of slots busy with long requests, part of Busy.
+	LongBusy    int
 	Queued      int
 	Slots       int
 	Incarnation uint64
@@ -111,7 +122,7 @@
 
 // String encodes the report as a header value.
 func (l Load) String() string {
-	return fmt.Sprintf("%s %d %d %d %d %.1f %d", l.State, l.Busy, l.Queued, l.Slots, l.Incarnation, l.Score, l.Wait.Microseconds())
+	return fmt.Sprintf("%s %d %d %d %d %d %.1f %d", l.State, l.Busy, l.LongBusy, l.Queued, l.Slots, l.Incarnation, l.Score, l.Wait.Microseconds())
 }
 
 // ParseLoad decodes a header value. It returns false if the value is malformed.
@@ -124,16 +135,17 @@
 	l := Load{
 		State:       State(fields[0]),
 		Busy:        int(p.integer(fields[1])),
-		Queued:      int(p.integer(fields[2])),
-		Slots:       int(p.integer(fields[3])),
-		Incarnation: p.integer(fields[4]),
-		Score:       p.float(fields[5]),
-		Wait:        time.Duration(p.integer(fields[6])) * time.Microsecond,
+		LongBusy:    int(p.integer(fields[2])),
+		Queued:      int(p.integer(fields[3])),
+		Slots:       int(p.integer(fields[4])),
+		Incarnation: p.integer(fields[5]),
+		Score:       p.float(fields[6]),
+		Wait:        time.Duration(p.integer(fields[7])) * time.Microsecond,
 	}
 	return l, !p.failed
 }
 
-const loadFields = 7
+const loadFields = 8
 
 // fieldParser parses numbers and remembers whether one was malformed.
 type fieldParser struct {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -192,9 +192,9 @@
 			return
 		case <-ticker.C:
 		}
-		paused := pauses.Observe(i.now()) > 0
+		gap := pauses.Observe(i.now())
 		for _, v := range i.allViews() {
-			v.tick(paused)
+			v.tick(gap)
 		}
 		if turn%poolPeriod == 0 {
 			i.pools.maintain(time.Now())
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -43,6 +43,7 @@
 		Fingerprint: r.fingerprint,
 		Repeatable:  r.route.Repeatable,
 		Long:        r.long,
+		Elsewhere:   p.elsewhere,
 		Remaining:   time.Until(r.deadline),
 	}
 	request := &transport.Request{Head: relay.CopyRequest(r.head)}
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -57,6 +57,7 @@
 	request  *request
 	tried    map[string]bool
 	attempts int
+	bounced  bool
 	open     []*attempt
 	results  chan result
 }
@@ -108,7 +109,7 @@
 
 // start begins an attempt at an endpoint that was not tried yet.
 func (s *serving) start(ctx context.Context) bool {
-	p := s.view.choose(s.request, s.tried, s.suspicion().Endpoint)
+	p := s.choose()
 	if p == nil {
 		return false
 	}
@@ -125,6 +126,18 @@
 	return true
 }
 
+// choose takes an endpoint that was not tried yet. If only one that refused as busy is left, the request waits there.
+func (s *serving) choose() *pick {
+	only := s.suspicion().Endpoint
+	mayBounce := !s.bounced && s.request.body.Whole()
+	p := s.view.choose(s.request, s.tried, only, mayBounce)
+	if p == nil && s.bounced {
+		clear(s.tried)
+		p = s.view.choose(s.request, s.tried, only, false)
+	}
+	return p
+}
+
 // suspicion tells whether the request is suspected of crashing backend servers, and where it may run.
 func (s *serving) suspicion() quarantine.Decision {
 	if s.ingress.options.Suspects == nil {
@@ -172,6 +185,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if failure.Reason == outcome.ReasonBusy && !s.bounced {
+		s.bounced = true
+		s.attempts--
+		return s.start(ctx)
+	}
 	if failure.Outcome != outcome.NotRun && !s.request.body.Whole() {
 		return false
 	}
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -19,6 +19,9 @@
 const (
 	stepHealth = "health"
 	stepChoose = "choose"
+	// bounceLoad is the known load up to which a request may be refused as busy. Above it the service is overloaded, and
+	// trying elsewhere would add messages without finding a free slot.
+	bounceLoad = 2.0
 	// reportLifetime is how long a report of "down" or "leaving" keeps an endpoint out of use. Afterwards a request is
 	// sent there again, which costs only a refusal if nothing has changed.
 	reportLifetime = 2 * time.Second
@@ -159,12 +162,13 @@
 	v.apply(v.detector.SetAvailability(v.now(), e.id, v.unavailable(e), e.load.State == hop.StateCold))
 }
 
-// tick lets the detector judge requests that are still open.
-func (v *view) tick(paused bool) {
+// tick lets the detector judge requests that are still open. The gap is the length of a pause of the process that has
+// just ended, or zero.
+func (v *view) tick(gap time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if paused {
-		v.detector.Resume(v.now())
+	if gap > 0 {
+		v.detector.Paused(v.now(), gap)
 	}
 	v.apply(v.detector.Tick(v.now()))
 	for _, e := range v.entries {
@@ -194,6 +198,8 @@
 	token  uint64
 	begin  time.Duration
 	reason string
+	// elsewhere is set if the owner shall refuse the request as busy rather than let it wait.
+	elsewhere bool
 	// wait is the time for which the request waited in the owner's queue, as the owner reported it.
 	wait time.Duration
 	// rescue is called when the endpoint becomes suspect while the attempt waits for its answer.
@@ -202,8 +208,9 @@
 
 const reasonProbe = "probe"
 
-// choose takes an endpoint for an attempt and counts the attempt as begun. It returns nil if there is none.
-func (v *view) choose(r *request, tried map[string]bool, only string) *pick {
+// choose takes an endpoint for an attempt and counts the attempt as begun. It returns nil if there is none. If mayBounce
+// is set, the owner may refuse the request as busy.
+func (v *view) choose(r *request, tried map[string]bool, only string, mayBounce bool) *pick {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e, reason := v.chooseEntry(r, tried, only)
@@ -212,6 +219,7 @@
 	}
 	v.nextID++
 	p := &pick{entry: e, token: v.nextID, begin: v.now(), reason: reason}
+	p.elsewhere = mayBounce && reason != reasonProbe && only == "" && len(tried)+1 < len(v.entries) && v.entryLoad(e) <= bounceLoad
 	e.inFlight++
 	v.detector.Begin(p.begin, e.id, p.token, r.long)
 	v.record(r, p)
@@ -236,6 +244,11 @@
 	return v.entries[n], reason
 }
 
+// entryLoad returns the known load of an endpoint, in requests per slot.
+func (v *view) entryLoad(e *entry) float64 {
+	return balance.Load(v.candidateOf(e))
+}
+
 func (v *view) usable(id string, tried map[string]bool) *entry {
 	e := v.byID[id]
 	if e == nil || tried[id] || v.unavailable(e) {
@@ -246,16 +259,21 @@
 
 func (v *view) candidate(n int, tried map[string]bool) balance.Candidate {
 	e := v.entries[n]
+	c := v.candidateOf(e)
+	if tried[e.id] || e.draining {
+		c.Weight = 0
+	}
+	return c
+}
+
+func (v *view) candidateOf(e *entry) balance.Candidate {
 	state := v.detector.View(v.now(), e.id)
 	c := balance.Candidate{
 		ID: e.id, Zone: e.host.Zone, Slots: e.slots, InFlight: e.inFlight,
 		Weight: state.Weight, LastResort: state.LastResort, Cold: e.load.State == hop.StateCold,
 	}
 	if v.now()-e.loadAt < reportLifetime {
-		c.Busy, c.Queued = e.load.Busy, e.load.Queued
-	}
-	if tried[e.id] || e.draining {
-		c.Weight = 0
+		c.Busy, c.LongBusy, c.Queued = e.load.Busy, e.load.LongBusy, e.load.Queued
 	}
 	return c
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -40,6 +40,7 @@
 	ReasonCold            Reason = "cold"
 	ReasonDown            Reason = "down"
 	ReasonQueueFull       Reason = "queue-full"
+	ReasonBusy            Reason = "busy"
 	ReasonDeadline        Reason = "deadline"
 	ReasonRetryBudget     Reason = "retry-budget"
 	ReasonClaimNoQuorum   Reason = "claim-no-quorum"
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -107,6 +107,7 @@
 	return hop.Load{
 		State:       state,
 		Busy:        load.Busy,
+		LongBusy:    load.LongBusy,
 		Queued:      load.Queued,
 		Slots:       load.Slots,
 		Incarnation: e.owner.options.Incarnation,
@@ -191,6 +192,7 @@
 		Long:     r.Long,
 		Deadline: now + time.Until(deadline),
 		Alone:    r.alone,
+		MaxWait:  maxWait(r),
 	})
 	switch decided.Verdict {
 	case admission.Run:
@@ -398,8 +400,22 @@
 }
 
 func admissionReason(reason admission.Reason) outcome.Reason {
-	if reason == admission.ReasonDeadline {
+	switch reason {
+	case admission.ReasonDeadline:
 		return outcome.ReasonDeadline
+	case admission.ReasonBusy:
+		return outcome.ReasonBusy
+	default:
+		return outcome.ReasonQueueFull
+	}
+}
+
+// busyWait is the expected wait from which a request that can be served elsewhere is refused as busy.
+const busyWait = time.Millisecond
+
+func maxWait(r *Request) time.Duration {
+	if r.Elsewhere {
+		return busyWait
 	}
-	return outcome.ReasonQueueFull
+	return 0
 }
--- a/pkg/owner/lifecycle.go
+++ b/pkg/owner/lifecycle.go
@@ -133,8 +133,9 @@
 
 func (o *Owner) turn() {
 	if o.paused() {
-		o.resumeDetectors()
-		o.options.Paused(o.now() - time.Duration(o.lastTurn.Load()))
+		gap := o.now() - time.Duration(o.lastTurn.Load())
+		o.excludePause(gap)
+		o.options.Paused(gap)
 	}
 	o.lastTurn.Store(int64(o.now()))
 	for _, e := range o.list() {
@@ -142,11 +143,11 @@
 	}
 }
 
-// resumeDetectors keeps a pause of the process from counting as time for which backend servers did not answer.
-func (o *Owner) resumeDetectors() {
+// excludePause keeps a pause of the process from counting as time for which backend servers did not answer.
+func (o *Owner) excludePause(gap time.Duration) {
 	for _, e := range o.list() {
 		e.mu.Lock()
-		e.detector.Resume(o.now())
+		e.detector.Paused(o.now(), gap)
 		e.mu.Unlock()
 	}
 }
