Do not charge unreached owners to the retry budget

Nothing runs then, so the service has no more work by it; the number of attempts still bounds it.

The new test fails without the rule.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -90,6 +90,9 @@
 	Outcome    outcome.Outcome
 	Repeatable bool
 	Keyed      bool
+	// Unreached is set when the endpoint's owner was not reached or takes no work. Trying elsewhere then costs the service
+	// nothing and is not charged to the budget.
+	Unreached bool
 	// Suspect is set when the request is suspected of crashing backend servers.
 	Suspect bool
 	// Attempts is the number of attempts made, the latest included.
@@ -108,7 +111,7 @@
 		return false, DeniedUnsafe
 	case a.Attempts >= b.settings.MaxAttempts:
 		return false, DeniedLimit
-	case !b.TryRetry():
+	case !a.Unreached && !b.TryRetry():
 		return false, DeniedBudget
 	default:
 		return true, Allowed
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -61,3 +61,15 @@
 		g.Expect(ok).To(gomega.Equal(c.want == Allowed))
 	}
 }
+
+// Guards against requests that stay refused because owners that could not be reached used up the budget.
+func TestUnreachedOwnersAreNotChargedToTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	spent := New(Settings{})
+	for spent.TryRetry() {
+	}
+	_, reason := Eligible(Attempt{Outcome: outcome.NotRun, Attempts: 1}, spent)
+	g.Expect(reason).To(gomega.Equal(DeniedBudget))
+	_, reason = Eligible(Attempt{Outcome: outcome.NotRun, Unreached: true, Attempts: 1}, spent)
+	g.Expect(reason).To(gomega.Equal(Allowed))
+}
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -200,6 +200,7 @@
 		Outcome:    failure.Outcome,
 		Repeatable: s.request.route.Repeatable,
 		Keyed:      s.request.key != "",
+		Unreached:  unreached(failure),
 		Suspect:    failure.Reason == outcome.ReasonBackendCrash,
 		Attempts:   s.attempts,
 	})
@@ -215,6 +216,16 @@
 	return true
 }
 
+// unreached reports whether the attempt cost the service nothing.
+func unreached(failure *outcome.Error) bool {
+	switch failure.Reason {
+	case outcome.ReasonConnect, outcome.ReasonLeaving, outcome.ReasonDown, outcome.ReasonNotReady:
+		return failure.Outcome == outcome.NotRun
+	default:
+		return false
+	}
+}
+
 func (s *serving) recordRetry(reason, cause string) {
 	s.ingress.options.Decisions.Record(decision.Decision{
 		RequestID: s.request.id, Step: stepRetry, Service: s.request.service.Name, Route: s.request.route.ID,
