--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -438,7 +438,7 @@
 // in the same time are good. All views receive the same score, so a lower one would make the endpoint suspect
 // everywhere by one excursion of one score.
 func (d *Detector) ownerEvidence(now time.Duration, e *endpoint) float64 {
-	if e.ownerScore < d.settings.StallScore || now-e.ownerAt > ownerFresh {
+	if e.ownerScore < d.settings.StallScore || now-e.ownerAt > ownerFresh || e.warming() {
 		return 0
 	}
 	p := d.peers(now, e, e.ownerAt-ownerWindow)
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -364,7 +364,7 @@
 func (d *Detector) endProbe(now time.Duration, e *endpoint, sample float64) []Transition {
 	e.probeScore += sample
 	if e.probeScore >= badSample {
-		if d.peersAreGood(now, e) {
+		if d.peersAreGood(now, e, min(e.probeScore, maxSample)) {
 			return d.move(nil, now, e, triggerEject, ReasonProbe)
 		}
 		e.probeScore, e.passes = 0, 0
@@ -378,9 +378,10 @@
 }
 
 // peersAreGood reports whether a bad probe says something about the endpoint rather than about the whole service.
-func (d *Detector) peersAreGood(now time.Duration, e *endpoint) bool {
+// Peers count as being as slow as the probe until outcomes show otherwise.
+func (d *Detector) peersAreGood(now time.Duration, e *endpoint, sample float64) bool {
 	p := d.peers(now, e, now-probeWindow)
-	return p.failureShare(d.failures) < probeFailures && p.excess(0) < slowPeers
+	return p.failureShare(d.failures) < probeFailures && p.excess(sample) < slowPeers
 }
 
 // judge compares the evidence against an endpoint with the thresholds.
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -381,7 +381,8 @@
 	g.Expect(w.d.StallScore(w.now, "e0")).To(gomega.BeZero(), "while it answers")
 }
 
-// Guards against a cold endpoint that is ejected because it is slow, as cold endpoints are.
+// Guards against a cold endpoint that is ejected because it is slow, as cold endpoints are, in its
+// own requests or in the report of its owner.
 func TestColdEndpointIsNotJudgedBySlowness(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld(10, 0, 1)
@@ -391,6 +392,7 @@
 	for i := range uint64(5) {
 		w.d.Begin(w.now, "e0", 1<<40+i, false)
 	}
+	w.d.Report(w.now, "e0", DefaultStallScore)
 	for range 20 {
 		w.warm(20)
 		w.send("e0", func(string) (Kind, time.Duration) { return Success, 10 * normalLatency })
