--- a/bench/capacity/configuration.go
+++ b/bench/capacity/configuration.go
@@ -203,7 +203,7 @@
 		return err
 	}
 	config.Split(base.Version(), text)
-	_, err = config.Assemble(manifest, func(ref config.PieceRef) ([]byte, error) {
+	_, err = config.Assemble(base, manifest, func(ref config.PieceRef) ([]byte, error) {
 		if data, ok := packed[ref.Digest]; ok {
 			return config.Decompress(data)
 		}
--- a/bench/capacity/document.go
+++ b/bench/capacity/document.go
@@ -29,12 +29,17 @@
 var divisors = []int{8, 4, 2, 1}
 
 func (s scale) part(divisor int) scale {
+	return s.times(1, divisor)
+}
+
+// times returns the given fraction of a scale.
+func (s scale) times(numerator, divisor int) scale {
 	return scale{
-		hosts:      max(s.hosts/divisor, recorders),
-		services:   max(s.services/divisor, 1),
-		endpoints:  max(s.endpoints/divisor, 1),
-		routes:     max(s.routes/divisor, 1),
-		workspaces: s.workspaces / divisor,
+		hosts:      max(s.hosts*numerator/divisor, recorders),
+		services:   max(s.services*numerator/divisor, 1),
+		endpoints:  max(s.endpoints*numerator/divisor, 1),
+		routes:     max(s.routes*numerator/divisor, 1),
+		workspaces: s.workspaces * numerator / divisor,
 	}
 }
 
--- a/bench/capacity/transfer.go
+++ b/bench/capacity/transfer.go
@@ -82,7 +82,7 @@
 	figure("whole document compressed "+label, held.total(), unitBytes, noTarget)
 	figure("pieces of the whole document "+label, float64(len(held)), unitCount, noTarget)
 	whole, least, most, err := o.median(func() error {
-		_, err := config.Assemble(manifest, func(ref config.PieceRef) ([]byte, error) {
+		_, err := config.Assemble(nil, manifest, func(ref config.PieceRef) ([]byte, error) {
 			return config.Decompress(data[ref.Digest])
 		})
 		return err
