--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -13,6 +13,7 @@
 	"agatepulley.example/agatepulley/core/once"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/ring"
@@ -128,17 +129,7 @@
 func (s *Service) Stop(ctx context.Context) error {
 	s.flush(ctx)
 	s.cancel()
-	done := make(chan struct{})
-	go func() {
-		s.tasks.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait for claim tasks: %w", ctx.Err())
-	}
+	return kernel.AwaitTasks(ctx, &s.tasks, "claim tasks")
 }
 
 // Claim asks the recorders of the service for the right to run an attempt. It returns as soon as the result is certain,
--- a/pkg/configstore/syncer.go
+++ b/pkg/configstore/syncer.go
@@ -13,6 +13,7 @@
 	"agatepulley.example/agatepulley/core/configstate"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/platform"
 	"agatepulley.example/agatepulley/pkg/ring"
 )
@@ -138,17 +139,7 @@
 		return nil
 	}
 	s.cancel()
-	done := make(chan struct{})
-	go func() {
-		s.tasks.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait for configuration tasks: %w", ctx.Err())
-	}
+	return kernel.AwaitTasks(ctx, &s.tasks, "configuration tasks")
 }
 
 // Ready reports whether the node has asked the service and the seed peers and has a configuration.
--- a/pkg/decision/decision.go
+++ b/pkg/decision/decision.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/ring"
 )
 
@@ -87,12 +88,7 @@
 // Stop writes what is queued and ends the log duty.
 func (r *Recorder) Stop(ctx context.Context) error {
 	r.cancel()
-	select {
-	case <-r.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return kernel.AwaitClosed(ctx, r.done, "decision log")
 }
 
 // Record stores a decision and queues its log line.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -94,12 +95,7 @@
 func (i *Ingress) Stop(ctx context.Context) error {
 	i.cancel()
 	i.pools.close()
-	select {
-	case <-i.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return kernel.AwaitClosed(ctx, i.done, "health tick")
 }
 
 // Close tells callers from now on to close their connections.
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -172,6 +172,12 @@
 // lost classifies an attempt that ended without an answer of the owner. If the request may have reached the owner,
 // the owner is asked once more over the peer connection.
 func (i *Ingress) lost(ctx context.Context, p *pick, meta *hop.Meta, err error) *outcome.Error {
+	failure := i.classify(ctx, p, meta, err)
+	i.options.Metrics.ConnectionClosed(string(failure.Reason))
+	return failure
+}
+
+func (i *Ingress) classify(ctx context.Context, p *pick, meta *hop.Meta, err error) *outcome.Error {
 	peer := p.entry.host.ID
 	var exchange *transport.Error
 	sent := errors.As(err, &exchange) && exchange.Sent
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -8,6 +8,7 @@
 
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/news"
 	"agatepulley.example/agatepulley/pkg/platform"
 )
@@ -114,12 +115,7 @@
 // Stop ends the watch.
 func (l *hostList) Stop(ctx context.Context) error {
 	l.cancel()
-	select {
-	case <-l.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return kernel.AwaitClosed(ctx, l.done, "host list watch")
 }
 
 func (l *hostList) run(ctx context.Context) {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -11,6 +11,7 @@
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -133,12 +134,7 @@
 // Stop ends the watch. Requests in flight are not affected.
 func (o *Owner) Stop(ctx context.Context) error {
 	o.cancel()
-	select {
-	case <-o.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return kernel.AwaitClosed(ctx, o.done, "watch over the backend servers")
 }
 
 // Update takes over the endpoints of a new configuration.
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"agatepulley.example/agatepulley/core/membership"
 	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/kernel"
 )
 
 // Handler answers one call. The from argument is the peer address that the caller announced.
@@ -166,17 +167,7 @@
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	s.closeAll()
-	done := make(chan struct{})
-	go func() {
-		s.tasks.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait for peer tasks: %w", ctx.Err())
-	}
+	return kernel.AwaitTasks(ctx, &s.tasks, "peer tasks")
 }
 
 // Handle registers the handler of a method. It replaces an earlier one.
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -58,8 +58,6 @@
 	suspects    metric.Int64Counter
 	late        metric.Int64Counter
 	mismatched  metric.Int64Counter
-	peerBytes   metric.Int64Counter
-	peerCount   metric.Int64Counter
 	pauses      metric.Int64Counter
 	labelsCache labelCache
 }
@@ -81,8 +79,6 @@
 	m.suspects = b.counter("agatepulley_crash_suspects", "Requests in flight when a backend server crashed, by service.")
 	m.late = b.counter("agatepulley_late_answers", "Responses that arrived after their request had ended.")
 	m.mismatched = b.counter("agatepulley_mismatched_answers", "Responses whose request id or attempt did not match.")
-	m.peerBytes = b.counter("agatepulley_peer_bytes", "Bytes of the peer protocol by method and direction.")
-	m.peerCount = b.counter("agatepulley_peer_messages", "Messages of the peer protocol by method and direction.")
 	m.pauses = b.counter("agatepulley_pauses", "Pauses of the process that were detected.")
 	if err := b.err(); err != nil {
 		return nil, err
@@ -181,16 +177,6 @@
 	}
 }
 
-// PeerMessage records one message of the peer protocol.
-func (m *Metrics) PeerMessage(method, direction string, bytes int) {
-	if m == nil {
-		return
-	}
-	labels := m.labelsCache.get("method", method, "direction", direction)
-	m.peerCount.Add(context.Background(), 1, labels.add...)
-	m.peerBytes.Add(context.Background(), int64(bytes), labels.add...)
-}
-
 // ObserveConfig exports the configuration in force. The source is called at each export.
 func (m *Metrics) ObserveConfig(source func() ConfigState) error {
 	if m == nil {
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -30,7 +30,6 @@
 	m.Request("desk", outcome.Answered, 20*time.Millisecond, 300*time.Microsecond)
 	m.Request("desk", outcome.Unknown, time.Second, -1)
 	m.Refused("desk", outcome.ReasonQueueFull)
-	m.PeerMessage("peer.exchange", telemetry.DirectionOut, 420)
 	g.Expect(m.ObserveDecisionsDropped(func() uint64 { return 3 })).To(gomega.Succeed())
 	g.Expect(m.ObserveConfig(func() telemetry.ConfigState {
 		return telemetry.ConfigState{Epoch: 1, Sequence: 7, Age: 2 * time.Second}
@@ -44,7 +43,6 @@
 		`agatepulley_refusals_total{reason="queue-full",service="desk"} 1`,
 		`agatepulley_added_time_seconds_bucket{outcome="answered",service="desk",le="0.0003"} 1`,
 		`agatepulley_request_duration_seconds_count{outcome="unknown",service="desk"} 1`,
-		`agatepulley_peer_bytes_total{direction="out",method="peer.exchange"} 420`,
 		`agatepulley_peer_frames_total{direction="out"} 4`,
 		`agatepulley_peer_frame_bytes_total{direction="out"} 1800`,
 		`agatepulley_decision_lines_dropped_total 3`,
@@ -72,7 +70,6 @@
 	m.LateAnswer()
 	m.MismatchedAnswer()
 	m.Paused()
-	m.PeerMessage("peer.news", telemetry.DirectionIn, 1)
 	g.Expect(m.ObserveDecisionsDropped(nil)).To(gomega.Succeed())
 	g.Expect(m.ObserveConfig(nil)).To(gomega.Succeed())
 	g.Expect(m.ObserveGauge("x", "x", nil)).To(gomega.Succeed())
