--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -367,6 +367,10 @@
 	return max(0, excessFactor*(m.sum+own)/(m.samples+1)+excessMargin)
 }
 
+// maxPeersCompared bounds the endpoints whose open requests are compared with those of one endpoint. Comparing each with
+// all took 7 cores at 1,000 endpoints of a stalled service, since the cost grew with the square.
+const maxPeersCompared = 48
+
 // peerEvidence is what the peers of an endpoint show in the same time.
 type peerEvidence struct {
 	outcomes float64
@@ -411,15 +415,18 @@
 		}
 		p.addLatency(s.sample, s.endpoint.Zone == e.Zone)
 	}
-	for _, other := range d.active {
+	start := int(e.rank % uint64(max(len(d.active), 1)))
+	for i := range min(len(d.active), maxPeersCompared) {
+		other := d.active[(start+i)%len(d.active)]
 		if other == e || other.state == Ejected || other.state == Probation {
 			continue
 		}
-		for _, r := range other.open {
+		for k := range other.open {
+			r := &other.open[k]
 			if r.begin < since {
 				continue
 			}
-			if sample := d.openSample(now, other, r); sample > 0 {
+			if sample := d.cachedSample(now, other, r); sample > 0 {
 				p.addLatency(sample, other.Zone == e.Zone)
 			}
 		}
@@ -427,6 +434,15 @@
 	return p
 }
 
+// cachedSample returns the evidence of an open request, which all endpoints judged at one time share.
+func (d *Detector) cachedSample(now time.Duration, e *endpoint, r *openRequest) float64 {
+	if r.sampledAt != now {
+		r.sample = d.openSample(now, e, *r)
+		r.sampledAt = now
+	}
+	return r.sample
+}
+
 func (p *peerEvidence) addLatency(sample float64, sameZone bool) {
 	p.service.add(sample)
 	if sameZone {
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -132,6 +132,9 @@
 	id    uint64
 	begin time.Duration
 	long  bool
+	// sample is the evidence at the time sampledAt.
+	sample    float64
+	sampledAt time.Duration
 }
 
 type endpoint struct {
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -163,30 +163,38 @@
 // merge adds the records of another member's page. It reports false if the table has no room for them.
 func (t *table) merge(records []byte, now time.Duration) bool {
 	for len(records) >= recordBytes {
-		if t.full() {
+		if !t.mergeRecord(records[:recordBytes], now) {
 			return false
 		}
-		t.mergeRecord(records[:recordBytes], now)
 		records = records[recordBytes:]
 	}
 	return true
 }
 
-func (t *table) mergeRecord(record []byte, now time.Duration) {
+// mergeRecord adds one record. It reports false if the record needs an entry of its own and the table has no room.
+func (t *table) mergeRecord(record []byte, now time.Duration) bool {
 	key, attempt := ID(record[:idBytes]), ID(record[idBytes:2*idBytes])
 	rest := record[2*idBytes:]
 	expiry := now + time.Duration(binary.BigEndian.Uint32(rest))*time.Millisecond
 	status := binary.BigEndian.Uint16(rest[4:])
 	flags := rest[6]
 	if flags&flagReleased != 0 {
+		if t.full() && !t.isReleased(attempt, now) {
+			return false
+		}
 		t.release(attempt, expiry, now)
-		return
+		return true
 	}
 	merged := entry{attempt: attempt, expiry: expiry, status: status, flags: flags | inherited}
-	if held, ok := t.claim(key, now); ok {
+	held, known := t.claim(key, now)
+	switch {
+	case known:
 		merged = combine(held, merged)
+	case t.full():
+		return false
 	}
 	t.put(key, merged, now)
+	return true
 }
 
 // combine joins two claims on the same key. A completed one is kept, as it is known to have run.
--- a/pkg/fleet/hosts.go
+++ b/pkg/fleet/hosts.go
@@ -67,12 +67,13 @@
 	h.notify(changed)
 }
 
-// ObserveList records a state of the host list.
-func (h *Hosts) ObserveList(id string, leaving bool) {
+// ObserveList records a state of the host list. It returns true if the host's leaving state changed.
+func (h *Hosts) ObserveList(id string, leaving bool) bool {
 	h.mu.Lock()
 	changed := h.tracker.ObserveList(id, leaving, h.now())
 	h.mu.Unlock()
 	h.notify(changed)
+	return changed
 }
 
 // ObserveHost records what a host said about itself.
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -176,8 +176,8 @@
 	if leaving {
 		state = news.StateLeaving
 	}
-	l.node.hosts.ObserveList(host.ID, leaving)
-	if host.ID != l.node.settings.HostID {
+	// A change that another reader has already spread is not news.
+	if l.node.hosts.ObserveList(host.ID, leaving) && host.ID != l.node.settings.HostID {
 		l.node.publish(news.KindHost, host.ID, state, nil)
 	}
 }
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -127,22 +127,28 @@
 	}
 	admitted := e.owner.now()
 	r.Waited = admitted - offered
-	free := func() { e.done(r.Attempt, e.owner.now()-admitted) }
-	claim, failure := e.claim(ctx, r)
+	response, failure := e.claimAndDispatch(ctx, r)
 	if failure != nil {
-		free()
+		e.done(r.Attempt, notLearned)
 		return nil, failure
 	}
-	response, failure := e.dispatch(ctx, r, claim)
-	settle(claim, response, failure)
+	response.OnClose(func() { e.done(r.Attempt, e.owner.now()-admitted) })
+	return response, nil
+}
+
+func (e *endpoint) claimAndDispatch(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	claim, failure := e.claim(ctx, r)
 	if failure != nil {
-		free()
 		return nil, failure
 	}
-	response.OnClose(free)
-	return response, nil
+	response, failure := e.dispatch(ctx, r, claim)
+	settle(claim, response, failure)
+	return response, failure
 }
 
+// notLearned is the service time of a request that ended without an answer. It says nothing about those to come.
+const notLearned = -1
+
 // place decides whether a request suspected of crashing backend servers may run here.
 func (e *endpoint) place(r *Request) (alone bool, failure *outcome.Error) {
 	if e.life.state() == hop.StateDown {
@@ -187,6 +193,7 @@
 	deadline, _ := ctx.Deadline()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.queue.Resize(e.effectiveSlots())
 	decided := e.queue.Offer(now, admission.Item{
 		ID:       r.Attempt,
 		Long:     r.Long,
@@ -213,7 +220,7 @@
 	delete(e.waiting, r.Attempt)
 	e.mu.Unlock()
 	if !cancelled && <-granted == nil {
-		e.done(r.Attempt, 0)
+		e.done(r.Attempt, notLearned)
 	}
 	reason := outcome.ReasonCancelled
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -244,12 +251,14 @@
 
 // advance tells the waiting requests what the queue decided. The caller holds the lock.
 func (e *endpoint) advance(now time.Duration) {
-	for _, item := range e.queue.Expire(now) {
-		e.tell(item.ID, errRefusedInQueue)
-	}
+	e.queue.Resize(e.effectiveSlots())
 	for _, item := range e.queue.Next(now) {
 		e.tell(item.ID, nil)
 	}
+	// Next leaves the items that it found too late to Expire.
+	for _, item := range e.queue.Expire(now) {
+		e.tell(item.ID, errRefusedInQueue)
+	}
 }
 
 func (e *endpoint) tell(attempt string, err error) {
--- a/pkg/owner/lifecycle.go
+++ b/pkg/owner/lifecycle.go
@@ -191,7 +191,6 @@
 	e.detector.Tick(now)
 	before := e.stalled
 	e.stalled = e.detector.StallScore(now, e.id) >= health.DefaultStallScore
-	e.queue.Resize(e.effectiveSlots())
 	e.advance(now)
 	return e.stalled || before
 }
