--- a/pkg/node/crash_test.go
+++ b/pkg/node/crash_test.go
@@ -11,7 +11,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
@@ -42,29 +41,12 @@
 // against innocent requests that are refused because they shared a backend server with it.
 var _ = Describe("a request that crashes backend servers", func() {
 	It("costs at most two of them, and others are served", func() {
-		const owners = 4
-		document := &config.Document{Format: config.Format, Version: config.Version{Epoch: 1, Sequence: 1}}
-		service := config.Service{Name: "s", Claims: config.ClaimSettings{WindowMS: 5000, Generation: 1, Recorders: []string{"h0"}}}
-		ingress := newSettings("h0", "z1", "--config-service", "127.0.0.1:1")
-		document.Hosts = append(document.Hosts, hostOf(ingress))
 		var backends []*crashingBackend
-		var nodes []*testNode
-		var started []func()
-		for n := 1; n <= owners; n++ {
-			id := fmt.Sprintf("h%d", n)
+		urls := startService(1, 0, func() string {
 			backend := newCrashingBackend()
 			backends = append(backends, backend)
-			s := newSettings(id, "z1", "--config-service", "127.0.0.1:1", "--backend", "e"+id+"="+backend.server.Listener.Addr().String())
-			document.Hosts = append(document.Hosts, hostOf(s))
-			service.Endpoints = append(service.Endpoints, config.Endpoint{ID: "e" + id, Host: id, Slots: 3})
-			started = append(started, func() { nodes = append(nodes, startNode(s, document)) })
-		}
-		document.Services = []config.Service{service}
-		document.Routes = []config.Route{{ID: "all", PathPrefix: "/", Service: "s", Repeatable: true}}
-		for _, start := range started {
-			start()
-		}
-		startNode(ingress, document)
+			return backend.server.Listener.Addr().String()
+		}).urls
 		crashed := func() int {
 			count := 0
 			for _, b := range backends {
@@ -75,7 +57,7 @@
 			return count
 		}
 		get := func(path string) (int, string) {
-			response, err := client().Get("http://" + ingress.Listen + path)
+			response, err := client().Get(urls[0] + path)
 			Expect(err).NotTo(HaveOccurred())
 			defer response.Body.Close()
 			return response.StatusCode, response.Header.Get(outcome.HeaderReason)
