Do not send the rest of a large body again

A request whose body is larger than the 64 KB kept in memory was tried again after a refusal of its owner, although part of the body had been sent. Such a request is now tried again only if its owner was not reached.

The new test guards the effect: no backend server runs a part of a body. It was not seen failing before the change, because the length check of the codec and the owner's read error stop the second attempt as well.

--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -190,10 +190,7 @@
 		s.attempts--
 		return s.start(ctx)
 	}
-	if failure.Outcome != outcome.NotRun && !s.request.body.Whole() {
-		return false
-	}
-	if !s.request.body.Whole() && failure.Step == string(transport.StepWrite) {
+	if !s.resendable(failure) {
 		return false
 	}
 	allowed, reason := s.view.mayRetry(retry.Attempt{
@@ -216,6 +213,12 @@
 	return true
 }
 
+// resendable reports whether the body can be sent again. A body that is not in memory can be sent only once, and nothing
+// of it was sent if the owner was not reached.
+func (s *serving) resendable(failure *outcome.Error) bool {
+	return s.request.body.Whole() || failure.Reason == outcome.ReasonConnect
+}
+
 // unreached reports whether the attempt cost the service nothing.
 func unreached(failure *outcome.Error) bool {
 	switch failure.Reason {
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -190,6 +191,38 @@
 	g.Expect(runs.Load()).To(gomega.Equal(int32(1)))
 }
 
+// Guards against a second attempt that sends only the rest of a large body, whose beginning the first attempt has used.
+func TestLargeBodyIsNeverSentInPart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 300_000
+	var partial, wholeRuns atomic.Int32
+	count := func(_ http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || len(body) != size {
+			partial.Add(1)
+			return
+		}
+		wholeRuns.Add(1)
+	}
+	f := newFleet(t, map[string]http.HandlerFunc{"a": count, "b": count})
+	f.owners["a"].Leave()
+	answered := int32(0)
+	for range 20 {
+		request, _ := http.NewRequest("POST", f.url+"/write", bytes.NewReader(make([]byte, size)))
+		response, err := (&http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{}}).Do(request)
+		if err != nil {
+			continue
+		}
+		g.Expect(response.Body.Close()).To(gomega.Succeed())
+		if response.StatusCode == http.StatusOK {
+			answered++
+		}
+	}
+	g.Expect(partial.Load()).To(gomega.BeZero())
+	g.Expect(wholeRuns.Load()).To(gomega.BeNumerically(">=", answered))
+	g.Expect(answered).To(gomega.BeNumerically(">", 0))
+}
+
 // Guards against refusals of an owner that reach the caller although another owner would take the request.
 func TestRequestRefusedByOneOwnerIsSentToAnother(t *testing.T) {
 	g := gomega.NewWithT(t)
