--- a/standin/configservice/configservice.go
+++ b/standin/configservice/configservice.go
@@ -6,13 +6,14 @@
 package configservice
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"agatepulley.example/agatepulley/standin/jsonhttp"
 )
 
 // MaxValue is the largest accepted value in bytes.
@@ -217,28 +218,22 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	writeJSON(w, map[string]uint64{"revision": s.Put(r.PathValue("key"), data)})
+	jsonhttp.Write(w, map[string]uint64{"revision": s.Put(r.PathValue("key"), data)})
 }
 
 func (s *Service) serveGetFault(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
-	writeJSON(w, fault)
+	jsonhttp.Write(w, fault)
 }
 
 func (s *Service) servePutFault(w http.ResponseWriter, r *http.Request) {
-	var fault Fault
-	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
-		http.Error(w, "fault: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFault(fault)
-	writeJSON(w, fault)
+	jsonhttp.Take(w, r, "fault", s.SetFault)
 }
 
 func (s *Service) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Counts())
+	jsonhttp.Write(w, s.Counts())
 }
 
 func (s *Service) serveResetCounts(w http.ResponseWriter, _ *http.Request) {
@@ -266,12 +261,6 @@
 	w.WriteHeader(http.StatusNotModified)
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A failed write means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 // sleep returns false if the caller disconnects before the time is over.
 func sleep(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"agatepulley.example/agatepulley/standin/jsonhttp"
 )
 
 // maxWait bounds a watch.
@@ -165,7 +167,7 @@
 func (s *Service) serveList(w http.ResponseWriter, _ *http.Request) {
 	s.countRead()
 	if list, _, ok := s.read(w); ok {
-		writeJSON(w, list)
+		jsonhttp.Write(w, list)
 	}
 }
 
@@ -194,7 +196,7 @@
 			return
 		}
 		if list.Revision != after {
-			writeJSON(w, list)
+			jsonhttp.Write(w, list)
 			return
 		}
 		select {
@@ -222,7 +224,7 @@
 		return
 	}
 	s.Set(host)
-	writeJSON(w, host)
+	jsonhttp.Write(w, host)
 }
 
 func (s *Service) servePutState(w http.ResponseWriter, r *http.Request) {
@@ -245,7 +247,7 @@
 	}
 	host.State = body.State
 	s.Set(host)
-	writeJSON(w, host)
+	jsonhttp.Write(w, host)
 }
 
 func (s *Service) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -257,28 +259,22 @@
 	s.mu.Lock()
 	hosts := s.truth()
 	s.mu.Unlock()
-	writeJSON(w, hosts)
+	jsonhttp.Write(w, hosts)
 }
 
 func (s *Service) serveGetFault(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
-	writeJSON(w, fault)
+	jsonhttp.Write(w, fault)
 }
 
 func (s *Service) servePutFault(w http.ResponseWriter, r *http.Request) {
-	var fault Fault
-	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
-		http.Error(w, "fault: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFault(fault)
-	writeJSON(w, fault)
+	jsonhttp.Take(w, r, "fault", s.SetFault)
 }
 
 func (s *Service) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, map[string]uint64{"reads": s.Reads()})
+	jsonhttp.Write(w, map[string]uint64{"reads": s.Reads()})
 }
 
 func checkState(w http.ResponseWriter, state string) bool {
@@ -288,9 +284,3 @@
 	http.Error(w, `state: must be "live" or "leaving"`, http.StatusBadRequest)
 	return false
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A failed write means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
