--- a/pkg/node/leaving_test.go
+++ b/pkg/node/leaving_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -120,8 +121,11 @@
 			t := startTrio()
 			e1, _ := t.send(40)
 			Expect(e1).To(BeNumerically(">", 0))
+			reported := time.Now()
 			leave(t)
 			Eventually(func() bool { return t.ingress.hosts.Leaving("h1") }, hangGuard).Should(BeTrue())
+			// The time is reported and not judged.
+			AddReportEntry("time until another node sends no new work "+name, time.Since(reported).Round(time.Millisecond))
 			e1, e2 := t.send(40)
 			Expect(e1).To(BeZero())
 			Expect(e2).To(Equal(int32(40)))
