--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -42,7 +42,6 @@
 	ReasonQueueFull       Reason = "queue-full"
 	ReasonBusy            Reason = "busy"
 	ReasonDeadline        Reason = "deadline"
-	ReasonRetryBudget     Reason = "retry-budget"
 	ReasonClaimNoQuorum   Reason = "claim-no-quorum"
 	ReasonClaimStale      Reason = "claim-stale-configuration"
 	ReasonClaimed         Reason = "claimed"
@@ -80,7 +79,6 @@
 	HeaderHopClass       = HopPrefix + "Class"
 	HeaderHopFingerprint = HopPrefix + "Fingerprint"
 	HeaderHopLoad        = HopPrefix + "Load"
-	HeaderHopVersion     = HopPrefix + "Version"
 )
 
 // Error is a request that ended without a backend server's answer. It carries the step and the peer at which that
