Let changed settings of a service in use take effect

Found by reading: the detector, the retry budget, the owner's queue and the quarantine took their settings when they were created, so that a new configuration changed them only for services not in use yet. They now take over new settings and keep their state. The check for draining in the candidates is gone, since the detector gives such endpoints no weight.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -190,6 +190,11 @@
 	}
 }
 
+// Configure replaces the settings. The evidence and the states are kept.
+func (d *Detector) Configure(s Settings) {
+	d.settings = s.WithDefaults()
+}
+
 // SetEndpoints replaces the endpoints and the floor. Known endpoints keep their state, except that those that become
 // protected return to rotation at once.
 func (d *Detector) SetEndpoints(now time.Duration, endpoints []Endpoint, floorPercent int) []Transition {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -102,10 +102,17 @@
 
 // New returns an empty store.
 func New(options Options) *Store {
+	s := &Store{suspects: make(map[string]*suspect)}
+	s.Configure(options)
+	return s
+}
+
+// Configure replaces the options. The suspects are kept.
+func (s *Store) Configure(options Options) {
 	options.Period = cmp.Or(options.Period, DefaultPeriod)
 	options.MaxCrashes = cmp.Or(options.MaxCrashes, DefaultMaxCrashes)
 	options.Capacity = cmp.Or(options.Capacity, DefaultCapacity)
-	return &Store{options: options, suspects: make(map[string]*suspect)}
+	s.options = options
 }
 
 // Suspect records that a request was in flight when a backend server crashed. It returns the record to publish.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -53,6 +53,11 @@
 	return &Budget{settings: s, tokens: s.Initial}
 }
 
+// Configure replaces the settings. The retries left are kept.
+func (b *Budget) Configure(s Settings) {
+	b.settings = s.WithDefaults()
+}
+
 // Success records a request that was answered.
 func (b *Budget) Success() {
 	b.tokens = min(b.tokens+b.settings.Percent/100, max(b.settings.Limit, b.settings.Initial))
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -103,6 +103,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.service = service
+	v.detector.Configure(healthSettings(service))
+	v.budget.Configure(retrySettings(service))
 	v.settings = balance.Settings{ZoneSlack: float64(service.Balance.ZoneSlackPercent) / 100}
 	byID := make(map[string]*entry, len(service.Endpoints))
 	entries := make([]*entry, 0, len(service.Endpoints))
@@ -269,7 +271,7 @@
 func (v *view) candidate(n int, tried map[string]bool) balance.Candidate {
 	e := v.entries[n]
 	c := v.candidateOf(e)
-	if tried[e.id] || e.draining {
+	if tried[e.id] {
 		c.Weight = 0
 	}
 	return c
--- a/pkg/node/suspects.go
+++ b/pkg/node/suspects.go
@@ -35,12 +35,15 @@
 	kept := make(map[string]*quarantine.Store)
 	for i := range snapshot.Document().Services {
 		service := snapshot.Service(snapshot.Document().Services[i].Name)
+		options := quarantine.Options{
+			Period:     config.Millis(service.Quarantine.PeriodMS),
+			MaxCrashes: service.Quarantine.MaxCrashes,
+		}
 		store := s.stores[service.Name]
 		if store == nil {
-			store = quarantine.New(quarantine.Options{
-				Period:     config.Millis(service.Quarantine.PeriodMS),
-				MaxCrashes: service.Quarantine.MaxCrashes,
-			})
+			store = quarantine.New(options)
+		} else {
+			store.Configure(options)
 		}
 		kept[service.Name] = store
 	}
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -74,17 +74,19 @@
 	e.slots = ref.Slots
 	e.draining.Store(ref.Draining)
 	e.life.setRamp(config.Millis(ref.Service.Health.RampMS))
+	settings := admission.Settings{
+		Slots:       ref.Slots,
+		QueueLimit:  ref.Slots * ref.Service.Admission.QueuePerSlot,
+		LongReserve: ref.Service.Admission.LongReserve,
+	}
 	if e.queue != nil {
+		e.queue.Configure(settings)
 		e.queue.Resize(e.effectiveSlots())
 		return
 	}
 	e.detector = health.NewDetector(ref.Service.Name, health.Settings{})
 	e.detector.SetEndpoints(e.owner.now(), []health.Endpoint{{ID: e.id, Slots: ref.Slots}}, fullFloor)
-	e.queue = admission.New(admission.Settings{
-		Slots:       ref.Slots,
-		QueueLimit:  ref.Slots * ref.Service.Admission.QueuePerSlot,
-		LongReserve: ref.Service.Admission.LongReserve,
-	})
+	e.queue = admission.New(settings)
 }
 
 // retire closes idle connections of an endpoint that the configuration no longer lists. Admitted work goes on.
