--- a/bench/model/ingress.go
+++ b/bench/model/ingress.go
@@ -9,8 +9,8 @@
 	"agatepulley.example/agatepulley/core/admission"
 	"agatepulley.example/agatepulley/core/balance"
 	"agatepulley.example/agatepulley/core/health"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/retry"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 const (
--- a/bench/processes/ledger.go
+++ b/bench/processes/ledger.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/load"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/standin/backend"
 )
 
--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -10,9 +10,11 @@
 	"runtime/debug"
 	"syscall"
 
+	"agatepulley.example/agatepulley/pkg/member"
 	"agatepulley.example/agatepulley/pkg/node"
 	"agatepulley.example/agatepulley/pkg/settings"
 	"agatepulley.example/agatepulley/pkg/telemetry"
+	"agatepulley.example/agatepulley/platform"
 )
 
 const (
@@ -45,8 +47,14 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := serve(s); err != nil {
+	err = serve(s)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+	}
+	switch {
+	case errors.Is(err, errSettings):
+		return exitUsage
+	case err != nil:
 		return exitFailure
 	}
 	return 0
@@ -58,7 +66,7 @@
 		return err
 	}
 	telemetry.RedirectHertzLog(log.Logger())
-	n, err := node.New(s, log)
+	n, err := newNode(s, log)
 	if err != nil {
 		return err
 	}
@@ -68,3 +76,25 @@
 	defer stop()
 	return n.Run(ctx)
 }
+
+// runner is a node of either kind: with hosts that operators publish, or with endpoints that register themselves.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func newNode(s *settings.Settings, log *telemetry.Log) (runner, error) {
+	if s.SiteSettings == "" {
+		return node.New(s, log)
+	}
+	load := func() (*member.Settings, error) { return platform.LoadSettings(s.SiteSettings) }
+	site, err := load()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errSettings, err)
+	}
+	return member.New(site, member.Site{
+		Store: platform.NewStore(site.StoreAddress), Headers: platform.Headers(), Reload: load,
+	}, log)
+}
+
+// errSettings marks an error that ends the process like a wrong flag does.
+var errSettings = errors.New("invalid settings")
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -19,6 +19,8 @@
 	ID       string
 	Long     bool
 	Deadline time.Duration
+	// Priority ranks the item among the queued ones; lower values run first.
+	Priority int
 	// Alone requests run only while no other request runs on the endpoint.
 	Alone bool
 	// MaxWait, if not zero, refuses the request as busy when it would wait longer, so that its ingress can try another
@@ -79,8 +81,8 @@
 	start time.Duration
 }
 
-// Queue is the slots and the queue of one endpoint. Short requests run before long ones; within a class the earliest
-// deadline runs first.
+// Queue is the slots and the queue of one endpoint. Short requests run before long ones; within a class the lowest
+// priority value runs first, then the earliest deadline.
 type Queue struct {
 	settings  Settings
 	running   map[string]running
@@ -304,10 +306,18 @@
 	}
 }
 
+// before reports whether a queued item runs before a new one.
+func (i Item) before(new Item) bool {
+	if i.Priority != new.Priority {
+		return i.Priority < new.Priority
+	}
+	return i.Deadline <= new.Deadline
+}
+
 func (q *Queue) insert(item Item) {
 	line := q.line(item)
-	at, _ := slices.BinarySearchFunc(*line, item.Deadline, func(i Item, d time.Duration) int {
-		if i.Deadline <= d {
+	at, _ := slices.BinarySearchFunc(*line, item, func(i, new Item) int {
+		if i.before(new) {
 			return -1
 		}
 		return 1
@@ -367,7 +377,7 @@
 	}
 	ahead := 0
 	for _, other := range q.short {
-		if item.Long || item.Alone || other.Deadline <= item.Deadline {
+		if item.Long || item.Alone || other.before(item) {
 			ahead++
 		}
 	}
--- a/core/configstate/configstate.go
+++ b/core/configstate/configstate.go
@@ -2,8 +2,6 @@
 // I/O, no clock, no goroutines. Its types are not safe for concurrent use.
 package configstate
 
-import "agatepulley.example/agatepulley/pkg/config"
-
 // Verdict is the decision on an offered version.
 type Verdict int
 
@@ -37,8 +35,8 @@
 
 // Mark identifies a document by its version and digest.
 type Mark struct {
-	Version config.Version `json:"version"`
-	Digest  string         `json:"digest"`
+	Version Version `json:"version"`
+	Digest  string  `json:"digest"`
 }
 
 // Judge decides on an offered document, given the one in force. The decision does not depend on the source of the
--- a/core/configstate/configstate_test.go
+++ b/core/configstate/configstate_test.go
@@ -11,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"agatepulley.example/agatepulley/core/configstate"
-	"agatepulley.example/agatepulley/pkg/config"
 )
 
 func TestMain(m *testing.M) {
@@ -39,7 +38,7 @@
 	operator := rapid.IntRange(0, 1).Draw(t, "operator")
 	sequence := rapid.Uint64Range(1, uint64(len(f.published))+2).Draw(t, "sequence")
 	f.published = append(f.published, configstate.Mark{
-		Version: config.Version{Epoch: rapid.Uint64Range(1, 2).Draw(t, "epoch"), Sequence: sequence},
+		Version: configstate.Version{Epoch: rapid.Uint64Range(1, 2).Draw(t, "epoch"), Sequence: sequence},
 		Digest:  fmt.Sprintf("operator-%d-sequence-%d", operator, sequence),
 	})
 	f.served = len(f.published) - 1
--- a/core/configstate/log_test.go
+++ b/core/configstate/log_test.go
@@ -9,11 +9,10 @@
 	"pgregory.net/rapid"
 
 	"agatepulley.example/agatepulley/core/configstate"
-	"agatepulley.example/agatepulley/pkg/config"
 )
 
 func mark(sequence uint64, digest string) configstate.Mark {
-	return configstate.Mark{Version: config.Version{Epoch: 1, Sequence: sequence}, Digest: digest}
+	return configstate.Mark{Version: configstate.Version{Epoch: 1, Sequence: sequence}, Digest: digest}
 }
 
 // Guards against deltas that do not start at the document held or that skip a version, against a log that outgrows its
--- a/pkg/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -57,6 +57,10 @@
 	ReasonAnswerMismatch  Reason = "answer-mismatch"
 	ReasonUnknownEndpoint Reason = "unknown-endpoint"
 	ReasonSuspect         Reason = "endpoint-suspect"
+	ReasonRejected        Reason = "endpoint-rejected"
+	ReasonMisdirected     Reason = "endpoint-replaced"
+	ReasonServerError     Reason = "endpoint-error"
+	ReasonUnsigned        Reason = "answer-unsigned"
 )
 
 // Headers between callers, nodes and backend servers. The proxy removes Outcome, Reason and the Hop headers from
@@ -79,6 +83,8 @@
 	HeaderHopClass       = HopPrefix + "Class"
 	HeaderHopFingerprint = HopPrefix + "Fingerprint"
 	HeaderHopLoad        = HopPrefix + "Load"
+	HeaderHopPriority    = HopPrefix + "Priority"
+	HeaderHopCaller      = HopPrefix + "Caller"
 )
 
 // Error is a request that ended without a backend server's answer. It carries the step and the peer at which that
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,161 @@
+// Package placement chooses the endpoint that a request is sent to.
+//
+// It answers two loads. Under gray failures each wrong choice of an endpoint loses a request that may run only once, so
+// the probability that an endpoint or the path to it fails weighs most. At the crest of a rush slots are scarce, so
+// endpoints with free slots and short service times are preferred, and nodes that decide at the same moment on the same
+// reports spread their choices at random.
+//
+// Requests that may be repeated double as probes: they go to endpoints about which nothing was heard for a while, so
+// that requests that may run only once find fresh evidence.
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Candidate is an endpoint as the choosing node knows it.
+type Candidate struct {
+	// FailProbability is the probability that the endpoint fails a request.
+	FailProbability float64
+	// PathProbability is the probability that the path to the endpoint's host is broken.
+	PathProbability float64
+	Slots           int
+	// Busy and Queued are what the endpoint's owner reported, Sent is what this node sent since then.
+	Busy, Queued, Sent int
+	// ServiceTime is the mean time that the endpoint needs for a request.
+	ServiceTime time.Duration
+	// SinceOutcome is the time since the latest known outcome of a request at the endpoint.
+	SinceOutcome time.Duration
+	// RoundTrip is the round-trip time to the endpoint's host.
+	RoundTrip time.Duration
+	OtherZone bool
+	// Tried endpoints have had the request before.
+	Tried bool
+}
+
+// Request is what the choice needs to know about a request.
+type Request struct {
+	Repeatable bool
+	// Large requests move many bytes, so that they stay in their zone while it has room.
+	Large bool
+	// MayExplore allows an endpoint that is not the best one, because a failure can be made good by another attempt.
+	MayExplore bool
+	// TargetLatency is the time within which the response is worth most.
+	TargetLatency time.Duration
+}
+
+// Reason says why an endpoint was chosen.
+type Reason string
+
+// Reasons for a choice.
+const (
+	ReasonBest    Reason = "lowest-cost"
+	ReasonExplore Reason = "explore"
+	ReasonNone    Reason = "no-candidate"
+)
+
+const (
+	// A failed request costs a multiple of its target latency: much where it cannot be repeated, little where it can.
+	lostCost   = 4.0
+	repeatCost = 0.6
+	// Bytes between zones are charged for. The penalties are in units of the target latency.
+	otherZoneCost      = 0.03
+	largeOtherZoneCost = 0.5
+	// spread is the cost difference, in units of the target latency, that makes a choice e times less likely.
+	spread = 0.05
+	// minFree is the number of free slots that a full endpoint counts with.
+	minFree = 0.2
+	// exploreAfter is the time without outcomes after which an endpoint is worth a probe.
+	exploreAfter = 350 * time.Millisecond
+	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
+	exploreMaxPath = 0.3
+	// defaultTargetLatency is used for routes without one.
+	defaultTargetLatency = time.Second
+)
+
+// Choose returns the index of the chosen candidate and the reason, or -1 if there is none that was not tried.
+func Choose(rng *rand.Rand, r Request, candidates []Candidate) (int, Reason) {
+	if r.TargetLatency <= 0 {
+		r.TargetLatency = defaultTargetLatency
+	}
+	if r.Repeatable && r.MayExplore {
+		if n := explore(rng, r, candidates); n >= 0 {
+			return n, ReasonExplore
+		}
+	}
+	return best(rng, r, candidates)
+}
+
+// best draws a candidate with a likelihood that falls exponentially with its cost.
+func best(rng *rand.Rand, r Request, candidates []Candidate) (int, Reason) {
+	lowest := math.Inf(1)
+	costs := make([]float64, len(candidates))
+	for n := range candidates {
+		costs[n] = Cost(r, &candidates[n])
+		if !candidates[n].Tried {
+			lowest = min(lowest, costs[n])
+		}
+	}
+	scale := spread * r.TargetLatency.Seconds()
+	total, chosen := 0.0, -1
+	for n := range candidates {
+		if candidates[n].Tried {
+			continue
+		}
+		weight := max(candidates[n].free(), minFree) * math.Exp(-(costs[n]-lowest)/scale)
+		total += weight
+		if rng.Float64()*total < weight {
+			chosen = n
+		}
+	}
+	if chosen < 0 {
+		return -1, ReasonNone
+	}
+	return chosen, ReasonBest
+}
+
+// explore picks at random one of the endpoints about which nothing was heard lately.
+func explore(rng *rand.Rand, r Request, candidates []Candidate) int {
+	chosen, seen := -1, 0
+	for n := range candidates {
+		c := &candidates[n]
+		if c.Tried || c.SinceOutcome < exploreAfter || c.PathProbability > exploreMaxPath || c.free() < 1 {
+			continue
+		}
+		if r.Large && c.OtherZone {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			chosen = n
+		}
+	}
+	return chosen
+}
+
+// Cost is the expected time lost by sending the request to the candidate, in seconds.
+func Cost(r Request, c *Candidate) float64 {
+	target := r.TargetLatency.Seconds()
+	failure, zone := lostCost, otherZoneCost
+	if r.Repeatable {
+		failure = repeatCost
+	}
+	if r.Large {
+		zone = largeOtherZoneCost
+	}
+	fails := 1 - (1-c.FailProbability)*(1-c.PathProbability)
+	cost := fails*failure*target + c.ServiceTime.Seconds() + c.RoundTrip.Seconds()
+	if free := c.free(); free < 1 {
+		cost += (1 - free) / float64(max(c.Slots, 1)) * c.ServiceTime.Seconds()
+	}
+	if c.OtherZone {
+		cost += zone * target
+	}
+	return cost
+}
+
+func (c *Candidate) free() float64 {
+	return float64(c.Slots - c.Busy - c.Queued - c.Sent)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,7 +1,7 @@
 // Package retry bounds the retries of a service and decides whether an attempt may be followed by another.
 package retry
 
-import "agatepulley.example/agatepulley/pkg/outcome"
+import "agatepulley.example/agatepulley/core/outcome"
 
 // Settings bound retries. The zero value means the defaults.
 type Settings struct {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 )
 
 func TestMain(m *testing.M) {
--- /dev/null
+++ b/core/routing/config.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Kind says how often the requests of a route may run.
+type Kind string
+
+// Kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Download requests are safe and have large responses.
+	Download Kind = "download"
+)
+
+// Repeatable reports whether requests of the kind may run more than once.
+func (k Kind) Repeatable() bool {
+	return k == Safe || k == Download
+}
+
+// Target is one of the services behind a route.
+type Target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// Route is a rule for the requests of one host below one path prefix.
+type Route struct {
+	Name   string `json:"name"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+	Kind   Kind   `json:"kind"`
+	// Timeout is the longest time a request may stay unanswered.
+	Timeout time.Duration `json:"timeout"`
+	// TargetLatency is the time within which a response is worth most to the caller.
+	TargetLatency time.Duration `json:"target_latency"`
+	// Attempts is the largest number of endpoints that one request may be sent to.
+	Attempts int `json:"attempts"`
+	// Priority ranks the route among those of a service; 0 is the highest.
+	Priority int      `json:"priority"`
+	Targets  []Target `json:"targets"`
+}
+
+// Service is a set of interchangeable endpoints.
+type Service struct {
+	Name string `json:"name"`
+	// HealthPath is the path of the health check of the service's endpoints.
+	HealthPath string `json:"health_path"`
+	// MaxConnections is the number of connections that an endpoint accepts from all nodes together.
+	MaxConnections int `json:"max_connections"`
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes"`
+	BodyBytes     int64         `json:"body_bytes"`
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	IdleTimeout   time.Duration `json:"idle_timeout"`
+}
+
+// Config is one version of the published configuration.
+type Config struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Validate checks a configuration and returns all problems, each with the path of the field.
+func (c *Config) Validate() error {
+	var problems []error
+	report := func(ok bool, format string, args ...any) {
+		if !ok {
+			problems = append(problems, fmt.Errorf(format, args...))
+		}
+	}
+	report(c.Version > 0, "version: must be above 0")
+	services := make(map[string]bool, len(c.Services))
+	for n, s := range c.Services {
+		report(s.Name != "", "services[%d].name: is missing", n)
+		report(!services[s.Name], "services[%d].name: %q occurs twice", n, s.Name)
+		services[s.Name] = true
+	}
+	for n := range c.Routes {
+		c.Routes[n].validate(fmt.Sprintf("routes[%d]", n), services, report)
+	}
+	return errors.Join(problems...)
+}
+
+func (r *Route) validate(path string, services map[string]bool, report func(ok bool, format string, args ...any)) {
+	report(r.Host != "", "%s.host: is missing", path)
+	report(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "%s.prefix: %q does not begin and end with a slash", path, r.Prefix)
+	report(r.Kind == Safe || r.Kind == Unsafe || r.Kind == Download, "%s.kind: %q is not known", path, r.Kind)
+	report(r.Timeout > 0, "%s.timeout: must be above 0", path)
+	report(r.Attempts > 0, "%s.attempts: must be above 0", path)
+	report(len(r.Targets) > 0, "%s.targets: has no service", path)
+	for n, t := range r.Targets {
+		report(services[t.Service], "%s.targets[%d].service: %q is not a service", path, n, t.Service)
+		report(t.Weight >= 0, "%s.targets[%d].weight: is negative", path, n)
+	}
+}
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"net"
+	"strings"
+)
+
+// Table finds the route of a request. It is immutable and safe for concurrent use.
+type Table struct {
+	config   *Config
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+}
+
+// NewTable returns the table of a valid configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{
+		config:   c,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+	}
+	for n := range c.Routes {
+		r := &c.Routes[n]
+		host := strings.ToLower(r.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = make(map[string]*Route)
+		}
+		t.hosts[host][r.Prefix] = r
+	}
+	for n := range c.Services {
+		t.services[c.Services[n].Name] = &c.Services[n]
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 {
+	return t.config.Version
+}
+
+// Config returns the configuration that the table was built from. It must not be changed.
+func (t *Table) Config() *Config {
+	return t.config
+}
+
+// Limits returns the limits on what callers may send.
+func (t *Table) Limits() Limits {
+	return t.config.Limits
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	routes := t.hosts[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := routes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick chooses the service of a request by the weights of the route. The draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := draw * float64(total)
+	for _, t := range r.Targets {
+		if at -= float64(t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/once"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/kernel"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/ring"
 )
--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -14,10 +14,10 @@
 	"github.com/onsi/gomega"
 
 	"agatepulley.example/agatepulley/core/once"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 const (
--- a/pkg/decision/decision.go
+++ b/pkg/decision/decision.go
@@ -31,6 +31,8 @@
 	Peer       string      `json:"peer,omitempty"`
 	Outcome    string      `json:"outcome,omitempty"`
 	Reason     string      `json:"reason"`
+	// Inputs are what the decision was based on, with their age or version.
+	Inputs map[string]any `json:"inputs,omitempty"`
 }
 
 const (
@@ -165,16 +167,30 @@
 	}
 }
 
+// write logs a decision. Fields that do not apply are left out, so that lines stay short.
 func (r *Recorder) write(d Decision) {
-	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "decision",
-		slog.String("request_id", d.RequestID),
-		slog.String("step", d.Step),
-		slog.String("service", d.Service),
-		slog.String("route", d.Route),
-		slog.Any("candidates", d.Candidates),
-		slog.String("taken", d.Taken),
-		slog.String("peer", d.Peer),
-		slog.String("outcome", d.Outcome),
-		slog.String("reason", d.Reason),
-	)
+	attrs := make([]slog.Attr, 0, maxAttrs)
+	text := func(name, value string) {
+		if value != "" {
+			attrs = append(attrs, slog.String(name, value))
+		}
+	}
+	text("request_id", d.RequestID)
+	text("step", d.Step)
+	text("service", d.Service)
+	text("route", d.Route)
+	if len(d.Candidates) > 0 {
+		attrs = append(attrs, slog.Any("candidates", d.Candidates))
+	}
+	text("taken", d.Taken)
+	text("peer", d.Peer)
+	text("outcome", d.Outcome)
+	text("reason", d.Reason)
+	if len(d.Inputs) > 0 {
+		attrs = append(attrs, slog.Any("inputs", d.Inputs))
+	}
+	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "decision", attrs...)
 }
+
+// maxAttrs is the number of fields of a decision line.
+const maxAttrs = 10
--- /dev/null
+++ b/pkg/discovery/readers.go
@@ -0,0 +1,216 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/decision"
+)
+
+const (
+	// watchWait is how long a watch waits. It bounds how long a watch on a dead connection goes unnoticed.
+	watchWait = time.Second
+	// endpointsInterval is the shortest time between two watches of the endpoints, whose heartbeats would otherwise end
+	// each watch at once.
+	endpointsInterval = 400 * time.Millisecond
+	// firstBackoff and maxBackoff bound the wait after a failed call.
+	firstBackoff = 60 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+	// takeoverAfter is the age of the latest contact of others with the store from which this node reads as well, and
+	// takeoverStagger the further age for each rank.
+	takeoverAfter   = 1500 * time.Millisecond
+	takeoverStagger = 200 * time.Millisecond
+	// idlePoll is how often a node that does not read checks whether it should.
+	idlePoll = 100 * time.Millisecond
+	// expirePeriod is how often entries whose removal was held back are looked at.
+	expirePeriod = 100 * time.Millisecond
+)
+
+// contact remembers when the store last answered.
+type contact struct {
+	mu   sync.Mutex
+	at   time.Duration
+	ever bool
+	// away is set while calls fail.
+	away bool
+}
+
+func (c *contact) age(now time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ever {
+		return -1
+	}
+	return now - c.at
+}
+
+// shouldRead reports whether this node reads the store now.
+func (s *Service) shouldRead() bool {
+	rank := s.options.Readers.Rank()
+	if rank == 0 {
+		return true
+	}
+	return s.options.Readers.StoreContact() > takeoverAfter+time.Duration(rank)*takeoverStagger
+}
+
+// readConfiguration keeps the configuration in step with the store.
+func (s *Service) readConfiguration(ctx context.Context) {
+	var revision uint64
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		if revision > 0 && !s.shouldRead() {
+			sleep(ctx, idlePoll)
+			continue
+		}
+		read, err := s.nextConfiguration(ctx, revision)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			revision = 0
+			continue
+		case err != nil && !errors.Is(err, ErrNoConfiguration):
+			s.storeFailed(ctx, err)
+			sleep(ctx, backoff)
+			backoff = min(backoff*2, maxBackoff)
+			continue
+		}
+		backoff = firstBackoff
+		s.storeAnswered()
+		if read.Invalid != nil {
+			s.noteInvalid(read.Invalid)
+		}
+		if read.Config != nil {
+			s.Offer(read.Config, "store")
+		}
+		revision = max(revision, read.Revision)
+	}
+}
+
+func (s *Service) nextConfiguration(ctx context.Context, revision uint64) (ConfigurationRead, error) {
+	if revision == 0 {
+		return s.options.Store.Configuration(ctx)
+	}
+	return s.options.Store.WatchConfiguration(ctx, revision, watchWait)
+}
+
+// readEndpoints keeps the endpoints in step with the store.
+func (s *Service) readEndpoints(ctx context.Context) {
+	backoff := firstBackoff
+	complete := false
+	for ctx.Err() == nil {
+		if complete && !s.shouldRead() {
+			sleep(ctx, idlePoll)
+			continue
+		}
+		begin := s.options.Clock.Now()
+		err := s.nextEndpoints(ctx, complete)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			complete = false
+			continue
+		case err != nil:
+			s.storeFailed(ctx, err)
+			sleep(ctx, backoff)
+			backoff = min(backoff*2, maxBackoff)
+			continue
+		}
+		backoff = firstBackoff
+		complete = true
+		sleep(ctx, endpointsInterval-(s.options.Clock.Now()-begin))
+	}
+}
+
+func (s *Service) nextEndpoints(ctx context.Context, complete bool) error {
+	var read EndpointsRead
+	var err error
+	if complete {
+		read, err = s.options.Store.WatchEndpoints(ctx, s.revision.Load(), watchWait)
+	} else {
+		read, err = s.options.Store.Endpoints(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	s.storeAnswered()
+	for _, invalid := range read.Invalid {
+		s.noteInvalid(invalid)
+	}
+	s.update("store", func(g *registry.Registry, now time.Duration) []registry.Change {
+		if complete {
+			return g.Apply(now, read.Snapshot)
+		}
+		return g.Replace(now, read.Snapshot)
+	})
+	return nil
+}
+
+// expire removes entries whose removal was held back.
+func (s *Service) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expirePeriod)
+		s.update("store", func(g *registry.Registry, now time.Duration) []registry.Change { return g.Expire(now) })
+	}
+}
+
+func (s *Service) storeAnswered() {
+	now := s.options.Clock.Now()
+	s.contact.mu.Lock()
+	regained := s.contact.away
+	s.contact.at, s.contact.ever, s.contact.away = now, true, false
+	s.contact.mu.Unlock()
+	if !regained {
+		return
+	}
+	s.mu.Lock()
+	s.registry.StoreBack(now)
+	s.mu.Unlock()
+	s.options.Decisions.Record(decision.Decision{Step: stepStore, Outcome: "regained", Reason: "answered"})
+}
+
+func (s *Service) storeFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.contact.mu.Lock()
+	lost := !s.contact.away
+	s.contact.away = true
+	s.contact.mu.Unlock()
+	if !lost {
+		return
+	}
+	s.mu.Lock()
+	s.registry.StoreAway()
+	s.mu.Unlock()
+	s.options.Decisions.Record(decision.Decision{Step: stepStore, Outcome: "lost", Reason: err.Error()})
+}
+
+// maxInvalid bounds the different complaints that are remembered so that each is logged once.
+const maxInvalid = 1024
+
+// noteInvalid logs what could not be read, once.
+func (s *Service) noteInvalid(err error) {
+	s.mu.Lock()
+	known := s.invalid[err.Error()]
+	if len(s.invalid) >= maxInvalid {
+		clear(s.invalid)
+	}
+	s.invalid[err.Error()] = true
+	s.mu.Unlock()
+	if !known {
+		s.options.Logger.Warn("unreadable value in the store", "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/discovery/service.go
@@ -0,0 +1,263 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/peer"
+)
+
+// Methods of the peer protocol.
+const (
+	methodConfiguration = "discovery.configuration"
+	methodEndpoints     = "discovery.endpoints"
+)
+
+// Steps in decision lines.
+const (
+	stepConfiguration = "configuration"
+	stepEndpoint      = "endpoint"
+	stepStore         = "store"
+)
+
+// Summary is what a node tells others about its picture.
+type Summary struct {
+	ConfigVersion uint64
+	// Revision is the revision of the store up to which the endpoints are known, and Digest their state.
+	Revision uint64
+	Digest   uint64
+	// StoreContact is the time since the node itself was last answered by the store, or negative if it never was.
+	StoreContact time.Duration
+}
+
+// Readers tells a node whether it should read the store.
+type Readers interface {
+	// Rank is the position of this node among the nodes of its zone; the first one reads.
+	Rank() int
+	// StoreContact is the time since any other node was last answered by the store, as far as known.
+	StoreContact() time.Duration
+}
+
+// Options are the parts that the service works with.
+type Options struct {
+	Store     Store
+	Network   peer.Network
+	Readers   Readers
+	Clock     clock.Clock
+	Decisions *decision.Recorder
+	Logger    *slog.Logger
+	// ConfigChanged and EndpointsChanged are called after a change has taken effect.
+	ConfigChanged    func(*routing.Table)
+	EndpointsChanged func(*registry.View, []registry.Change)
+}
+
+// Service holds the configuration in force and the registered endpoints. It is safe for concurrent use.
+type Service struct {
+	options Options
+	table   atomic.Pointer[routing.Table]
+	view    atomic.Pointer[registry.View]
+	contact contact
+
+	mu       sync.Mutex
+	registry *registry.Registry
+	digest   atomic.Uint64
+	revision atomic.Uint64
+	pulling  map[string]bool
+	invalid  map[string]bool
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// New returns a service that knows nothing yet.
+func New(options Options) *Service {
+	s := &Service{
+		options:  options,
+		registry: registry.New(),
+		pulling:  make(map[string]bool),
+		invalid:  make(map[string]bool),
+	}
+	s.view.Store(s.registry.View())
+	options.Network.Handle(methodConfiguration, s.serveConfiguration)
+	options.Network.Handle(methodEndpoints, s.serveEndpoints)
+	return s
+}
+
+// Start begins to read the store.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.tasks.Go(func() { s.readConfiguration(ctx) })
+	s.tasks.Go(func() { s.readEndpoints(ctx) })
+	s.tasks.Go(func() { s.expire(ctx) })
+	return nil
+}
+
+// Stop ends the duties.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	return kernel.AwaitTasks(ctx, &s.tasks, "discovery tasks")
+}
+
+// Table returns the configuration in force, or nil if none is known.
+func (s *Service) Table() *routing.Table {
+	return s.table.Load()
+}
+
+// View returns the registered endpoints.
+func (s *Service) View() *registry.View {
+	return s.view.Load()
+}
+
+// Summary returns what other nodes are told.
+func (s *Service) Summary() Summary {
+	summary := Summary{
+		Revision:     s.revision.Load(),
+		Digest:       s.digest.Load(),
+		StoreContact: s.contact.age(s.options.Clock.Now()),
+	}
+	if t := s.table.Load(); t != nil {
+		summary.ConfigVersion = t.Version()
+	}
+	return summary
+}
+
+// Offer puts a configuration in force if it is newer than the present one.
+func (s *Service) Offer(c *routing.Config, source string) {
+	s.mu.Lock()
+	current := s.table.Load()
+	if current != nil && c.Version <= current.Version() {
+		s.mu.Unlock()
+		return
+	}
+	table := routing.NewTable(c)
+	s.table.Store(table)
+	s.mu.Unlock()
+	s.options.Decisions.Record(decision.Decision{
+		Step: stepConfiguration, Taken: fmt.Sprint(c.Version), Peer: source, Outcome: "adopted", Reason: "newer-version",
+		Inputs: map[string]any{"routes": len(c.Routes), "before": versionOf(current)},
+	})
+	s.options.ConfigChanged(table)
+}
+
+func versionOf(t *routing.Table) uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.Version()
+}
+
+// ObservePeer compares the summary of another node with the own picture and fetches what is newer.
+func (s *Service) ObservePeer(address string, summary Summary) {
+	if summary.ConfigVersion > versionOf(s.table.Load()) {
+		s.pull(methodConfiguration, address, s.pullConfiguration)
+	}
+	if summary.Digest != s.digest.Load() && summary.Revision > s.revision.Load() {
+		s.pull(methodEndpoints, address, s.pullEndpoints)
+	}
+}
+
+// pull runs one fetch of a kind at a time.
+func (s *Service) pull(method, address string, fetch func(ctx context.Context, address string) error) {
+	s.mu.Lock()
+	busy := s.pulling[method]
+	s.pulling[method] = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	s.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		if err := fetch(ctx, address); err != nil {
+			s.options.Logger.Warn("fetch from peer failed", "method", method, "peer", address, "error", err)
+		}
+		s.mu.Lock()
+		s.pulling[method] = false
+		s.mu.Unlock()
+	})
+}
+
+// pullTimeout bounds a fetch from a peer, so that a dead one does not hold up the next.
+const pullTimeout = 600 * time.Millisecond
+
+func (s *Service) pullConfiguration(ctx context.Context, address string) error {
+	var c routing.Config
+	if err := s.options.Network.Call(ctx, address, methodConfiguration, struct{}{}, &c); err != nil {
+		return err
+	}
+	if err := c.Validate(); err != nil {
+		return fmt.Errorf("configuration of peer %s: %w", address, err)
+	}
+	s.Offer(&c, address)
+	return nil
+}
+
+func (s *Service) pullEndpoints(ctx context.Context, address string) error {
+	var snapshot registry.Snapshot
+	if err := s.options.Network.Call(ctx, address, methodEndpoints, struct{}{}, &snapshot); err != nil {
+		return err
+	}
+	s.update(address, func(g *registry.Registry, now time.Duration) []registry.Change { return g.Merge(now, snapshot) })
+	return nil
+}
+
+func (s *Service) serveConfiguration(context.Context, string, json.RawMessage) (any, error) {
+	t := s.table.Load()
+	if t == nil {
+		return nil, ErrNoConfiguration
+	}
+	return t.Config(), nil
+}
+
+func (s *Service) serveEndpoints(context.Context, string, json.RawMessage) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Snapshot(s.options.Clock.Now()), nil
+}
+
+// update applies a change to the registry and publishes the new view.
+func (s *Service) update(source string, change func(g *registry.Registry, now time.Duration) []registry.Change) {
+	s.mu.Lock()
+	now := s.options.Clock.Now()
+	changes := change(s.registry, now)
+	s.revision.Store(s.registry.Revision())
+	var view *registry.View
+	if len(changes) > 0 {
+		view = s.registry.View()
+		s.view.Store(view)
+		s.digest.Store(s.registry.Digest())
+	}
+	s.mu.Unlock()
+	if view == nil {
+		return
+	}
+	for _, c := range changes {
+		s.record(source, c)
+	}
+	s.options.EndpointsChanged(view, changes)
+}
+
+func (s *Service) record(source string, c registry.Change) {
+	result := "listed"
+	switch {
+	case c.After.Gone:
+		result = "gone"
+	case c.After.Draining:
+		result = "draining"
+	}
+	s.options.Decisions.Record(decision.Decision{
+		Step: stepEndpoint, Service: c.After.Service, Taken: c.After.ID, Peer: source, Outcome: result, Reason: "registry",
+		Inputs: map[string]any{"address": c.After.Address, "revision": c.After.Revision, "born": c.After.Born},
+	})
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher.go
@@ -0,0 +1,289 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/attempts"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/dialect"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// Steps in decision lines.
+const (
+	stepAdmit    = "admit"
+	stepDispatch = "dispatch"
+	stepHealth   = "health"
+)
+
+// Options are the parts that a dispatcher works with.
+type Options struct {
+	// Backend is the address of the endpoint beside the node.
+	Backend   string
+	Headers   dialect.Headers
+	Clock     clock.Clock
+	Decisions *decision.Recorder
+	View      func() *registry.View
+	// Changed is called when the other nodes should learn of an endpoint's condition at once.
+	Changed func()
+}
+
+// Request is one attempt to run a request.
+type Request struct {
+	hop.Meta
+	Transport *transport.Request
+}
+
+// Dispatcher runs requests on the endpoint beside the node. It is safe for concurrent use.
+type Dispatcher struct {
+	options  Options
+	attempts *attempts.Registry
+	pool     *transport.Pool
+	stats    transport.Stats
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+const (
+	// rememberedAttempts covers 30 s at 250 requests/s, longer than an inquiry can be under way.
+	rememberedAttempts = 8192
+	// backendConnectTimeout is generous, since the endpoint is on the same host.
+	backendConnectTimeout = time.Second
+	// backendIdleTimeout stays below the time after which endpoints close idle connections.
+	backendIdleTimeout = 7 * time.Second
+	backendMaxIdle     = 64
+)
+
+// New returns a dispatcher.
+func New(options Options) *Dispatcher {
+	d := &Dispatcher{
+		options:   options,
+		attempts:  attempts.NewRegistry(rememberedAttempts),
+		endpoints: make(map[string]*endpoint),
+		done:      make(chan struct{}),
+	}
+	d.pool = transport.NewPool(options.Backend, transport.Options{
+		ConnectTimeout: backendConnectTimeout, IdleTimeout: backendIdleTimeout, MaxIdle: backendMaxIdle,
+	}, &d.stats)
+	return d
+}
+
+// Start begins to watch the requests that are open.
+func (d *Dispatcher) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go d.watch(ctx)
+	return nil
+}
+
+// Stop ends the watch and closes idle connections.
+func (d *Dispatcher) Stop(ctx context.Context) error {
+	d.cancel()
+	d.pool.Close()
+	return kernel.AwaitClosed(ctx, d.done, "watch over the endpoint")
+}
+
+// Leave makes the dispatcher refuse new work for good. Work that was admitted is finished.
+func (d *Dispatcher) Leave() {
+	d.leaving.Store(true)
+}
+
+// Leaving reports whether the dispatcher refuses new work.
+func (d *Dispatcher) Leaving() bool {
+	return d.leaving.Load()
+}
+
+// InFlight returns the number of requests that are queued or running.
+func (d *Dispatcher) InFlight() int {
+	return int(d.inFlight.Load())
+}
+
+// Inquire returns what became of an attempt. An attempt that is not known will never be run.
+func (d *Dispatcher) Inquire(attempt string) attempts.State {
+	return d.attempts.Inquire(attempt)
+}
+
+// Withdraw returns the same, after taking the attempt out of the queue if it has not been sent.
+func (d *Dispatcher) Withdraw(attempt string) attempts.State {
+	if state := d.attempts.Inquire(attempt); state != attempts.Queued {
+		return state
+	}
+	for _, e := range d.list() {
+		if e.withdraw(attempt) {
+			return attempts.NotRun
+		}
+	}
+	return d.attempts.Inquire(attempt)
+}
+
+// Reports returns the condition of each endpoint beside the node.
+func (d *Dispatcher) Reports() []reports.Endpoint {
+	view := d.options.View()
+	var list []reports.Endpoint
+	for _, e := range d.list() {
+		if view.ByID[e.id] != nil {
+			list = append(list, e.report())
+		}
+	}
+	return list
+}
+
+// Report returns the condition of one endpoint.
+func (d *Dispatcher) Report(id string) (reports.Endpoint, bool) {
+	d.mu.Lock()
+	e := d.endpoints[id]
+	d.mu.Unlock()
+	if e == nil {
+		return reports.Endpoint{}, false
+	}
+	return e.report(), true
+}
+
+// Update takes over a new view of the registered endpoints.
+func (d *Dispatcher) Update(view *registry.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, e := range d.endpoints {
+		switch listed := view.ByID[id]; {
+		case listed != nil:
+			e.configure(listed)
+		case view.Removed[id] && e.idle():
+			delete(d.endpoints, id)
+		}
+	}
+	for _, listed := range view.ByID {
+		if listed.Address == d.options.Backend && d.endpoints[listed.ID] == nil {
+			e := newEndpoint(d, listed.ID)
+			e.configure(listed)
+			d.endpoints[listed.ID] = e
+		}
+	}
+}
+
+// Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
+// frees the slot.
+func (d *Dispatcher) Do(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	if state, isNew := d.attempts.Begin(r.Attempt); !isNew {
+		return nil, refuseCopy(r, state)
+	}
+	d.inFlight.Add(1)
+	response, failure := d.run(ctx, r)
+	if failure != nil {
+		d.inFlight.Add(-1)
+		state := attempts.NotRun
+		if failure.Outcome == outcome.Unknown {
+			state = attempts.Unknown
+		}
+		d.attempts.Set(r.Attempt, state)
+	} else {
+		response.OnClose(func() { d.inFlight.Add(-1) })
+	}
+	d.record(r, failure)
+	return response, failure
+}
+
+func (d *Dispatcher) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	if d.Leaving() {
+		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
+	}
+	if d.options.View().Leaving(r.Endpoint) {
+		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
+	}
+	return d.endpoint(r.Endpoint).run(ctx, r)
+}
+
+// endpoint returns the state of an endpoint. One that is not listed here yet may be known to the ingress already; a
+// wrong one rejects the request, which names its instance.
+func (d *Dispatcher) endpoint(id string) *endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.endpoints[id]
+	if e == nil {
+		e = newEndpoint(d, id)
+		if listed := d.options.View().ByID[id]; listed != nil {
+			e.configure(listed)
+		}
+		d.endpoints[id] = e
+	}
+	return e
+}
+
+func (d *Dispatcher) list() []*endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]*endpoint, 0, len(d.endpoints))
+	for _, e := range d.endpoints {
+		list = append(list, e)
+	}
+	return list
+}
+
+func (d *Dispatcher) now() time.Duration {
+	return d.options.Clock.Now()
+}
+
+func refuse(r *Request, step string, reason outcome.Reason, cause error) *outcome.Error {
+	return outcome.Refuse(http.StatusServiceUnavailable, reason, step, r.Endpoint, cause)
+}
+
+// refuseCopy answers a second copy of an attempt. Only if the first was certainly not run may the copy say so.
+func refuseCopy(r *Request, state attempts.State) *outcome.Error {
+	if state == attempts.NotRun {
+		return refuse(r, stepAdmit, outcome.ReasonVoided, nil)
+	}
+	return outcome.Lose(http.StatusBadGateway, outcome.ReasonVoided, stepAdmit, r.Endpoint, nil)
+}
+
+func (d *Dispatcher) record(r *Request, failure *outcome.Error) {
+	entry := decision.Decision{
+		RequestID: r.RequestID, Step: stepDispatch, Service: r.Service, Route: r.Route, Taken: r.Endpoint,
+		Outcome: string(outcome.Answered), Reason: "admitted",
+	}
+	if failure != nil {
+		entry.Step, entry.Outcome, entry.Reason = failure.Step, string(failure.Outcome), string(failure.Reason)
+		if failure.Err != nil {
+			entry.Inputs = map[string]any{"error": failure.Err.Error()}
+		}
+	}
+	d.options.Decisions.Record(entry)
+}
+
+// watchPeriod bounds how long a stalled request can be overlooked.
+const watchPeriod = 50 * time.Millisecond
+
+func (d *Dispatcher) watch(ctx context.Context) {
+	defer close(d.done)
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		changed := false
+		for _, e := range d.list() {
+			changed = e.turn() || changed
+		}
+		d.pool.Maintain(time.Now())
+		if changed {
+			d.options.Changed()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/endpoint.go
@@ -0,0 +1,321 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"agatepulley.example/agatepulley/core/admission"
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+var (
+	errExpired   = errors.New("its deadline could no longer be met")
+	errWithdrawn = errors.New("withdrawn by its ingress")
+)
+
+const (
+	// unknownSlots is used until the endpoint's entry is known.
+	unknownSlots = 1
+	// queuePerSlot bounds the queue. At the crest of a rush a request that would wait longer than two others is better
+	// refused or placed elsewhere.
+	queuePerSlot = 3
+	// longReserve is the number of slots that downloads leave free.
+	longReserve = 1
+	// defaultService is the mean time for a request before any was seen.
+	defaultService = 150 * time.Millisecond
+	// serviceWeight is the weight of the latest request in the mean.
+	serviceWeight = 0.15
+	// A request counts as stalled once it is stallFactor times as old as the mean, at least minStall.
+	stallFactor = 3.5
+	minStall    = 250 * time.Millisecond
+	// An error answer within promptShare of the mean time did no real work.
+	promptShare = 0.35
+	// doubt is the probability of failing from which a change is told to the other nodes at once.
+	doubt = 0.15
+	// elsewhereWait is the expected wait from which a request that can be served elsewhere is refused as busy.
+	elsewhereWait = time.Millisecond
+)
+
+type running struct {
+	begin   time.Duration
+	stalled bool
+}
+
+// endpoint is the state of one endpoint beside the node.
+type endpoint struct {
+	dispatcher *Dispatcher
+	id         string
+
+	mu       sync.Mutex
+	born     int64
+	slots    int
+	queue    *admission.Queue
+	waiting  map[string]chan error
+	running  map[string]*running
+	filter   faultfilter.Filter
+	service  time.Duration
+	outcome  time.Duration
+	observed bool
+	told     float64
+}
+
+func newEndpoint(d *Dispatcher, id string) *endpoint {
+	e := &endpoint{
+		dispatcher: d,
+		id:         id,
+		waiting:    make(map[string]chan error),
+		running:    make(map[string]*running),
+		service:    defaultService,
+	}
+	e.resize(unknownSlots)
+	return e
+}
+
+// configure takes over the endpoint's entry. A restarted endpoint starts without evidence.
+func (e *endpoint) configure(listed *registry.Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if listed.Born != e.born {
+		e.born = listed.Born
+		e.filter.Reset()
+	}
+	if listed.Slots != e.slots {
+		e.resize(listed.Slots)
+	}
+}
+
+func (e *endpoint) resize(slots int) {
+	e.slots = slots
+	settings := admission.Settings{Slots: slots, QueueLimit: slots * queuePerSlot, LongReserve: longReserve}
+	if e.queue == nil {
+		e.queue = admission.New(settings)
+		return
+	}
+	e.queue.Configure(settings)
+}
+
+func (e *endpoint) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := e.queue.Load()
+	return load.Busy+load.Queued == 0
+}
+
+func (e *endpoint) report() reports.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.dispatcher.now()
+	load := e.queue.Load()
+	r := reports.Endpoint{
+		ID:           e.id,
+		FailPerMille: int(1000 * e.filter.Probability(now)),
+		Busy:         load.Busy,
+		Queued:       load.Queued,
+		Slots:        load.Slots,
+		ServiceMS:    int(e.expectedService(now).Milliseconds()),
+		OutcomeMS:    -1,
+	}
+	if e.observed {
+		r.OutcomeMS = int((now - e.outcome).Milliseconds())
+	}
+	return r
+}
+
+// expectedService is the mean time for a request. While more than one open request is older, it is the age of the second
+// oldest: one long request is ordinary, two are a sign of a slow endpoint.
+func (e *endpoint) expectedService(now time.Duration) time.Duration {
+	if len(e.running) < 2 {
+		return e.service
+	}
+	ages := make([]time.Duration, 0, len(e.running))
+	for _, r := range e.running {
+		ages = append(ages, now-r.begin)
+	}
+	slices.Sort(ages)
+	return max(e.service, ages[len(ages)-2])
+}
+
+// run admits a request and sends it.
+func (e *endpoint) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+	if failure := e.admit(ctx, r); failure != nil {
+		return nil, failure
+	}
+	response, failure := e.dispatch(ctx, r)
+	if failure != nil {
+		e.done(r.Attempt, notLearned)
+		return nil, failure
+	}
+	return response, nil
+}
+
+// notLearned is the service time of a request that ended without an answer. It says nothing about those to come.
+const notLearned = -1
+
+// admit waits for a slot. It returns when the request may be sent or is refused.
+func (e *endpoint) admit(ctx context.Context, r *Request) *outcome.Error {
+	granted, failure := e.offer(ctx, r)
+	if granted == nil || failure != nil {
+		return failure
+	}
+	select {
+	case err := <-granted:
+		switch {
+		case errors.Is(err, errWithdrawn):
+			return refuse(r, stepAdmit, outcome.ReasonVoided, err)
+		case err != nil:
+			return refuse(r, stepAdmit, outcome.ReasonDeadline, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return e.abandon(ctx, r, granted)
+	}
+}
+
+func (e *endpoint) offer(ctx context.Context, r *Request) (chan error, *outcome.Error) {
+	now := e.dispatcher.now()
+	deadline, _ := ctx.Deadline()
+	item := admission.Item{ID: r.Attempt, Long: r.Long, Priority: r.Priority, Deadline: now + time.Until(deadline)}
+	if r.Elsewhere {
+		item.MaxWait = elsewhereWait
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	decided := e.queue.Offer(now, item)
+	switch decided.Verdict {
+	case admission.Run:
+		return nil, nil
+	case admission.Queued:
+		granted := make(chan error, 1)
+		e.waiting[r.Attempt] = granted
+		return granted, nil
+	default:
+		return nil, refuse(r, stepAdmit, refusalReason(decided.Reason), nil)
+	}
+}
+
+func refusalReason(reason admission.Reason) outcome.Reason {
+	switch reason {
+	case admission.ReasonDeadline:
+		return outcome.ReasonDeadline
+	case admission.ReasonBusy:
+		return outcome.ReasonBusy
+	default:
+		return outcome.ReasonQueueFull
+	}
+}
+
+// abandon takes a request whose context ended out of the queue. If it was granted a slot meanwhile, the slot is freed.
+func (e *endpoint) abandon(ctx context.Context, r *Request, granted chan error) *outcome.Error {
+	e.mu.Lock()
+	cancelled := e.queue.Cancel(r.Attempt)
+	delete(e.waiting, r.Attempt)
+	e.mu.Unlock()
+	if !cancelled && <-granted == nil {
+		e.done(r.Attempt, notLearned)
+	}
+	reason := outcome.ReasonCancelled
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		reason = outcome.ReasonDeadline
+	}
+	return refuse(r, stepAdmit, reason, context.Cause(ctx))
+}
+
+// withdraw drops a queued request and reports whether it was queued.
+func (e *endpoint) withdraw(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.queue.Cancel(attempt) {
+		return false
+	}
+	e.tell(attempt, errWithdrawn)
+	return true
+}
+
+// done frees the slot of a request and lets the next ones run.
+func (e *endpoint) done(attempt string, served time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.dispatcher.now()
+	delete(e.running, attempt)
+	e.queue.Done(now, attempt, served)
+	e.advance(now)
+}
+
+// advance tells the waiting requests what the queue decided. The caller holds the lock.
+func (e *endpoint) advance(now time.Duration) {
+	for _, item := range e.queue.Next(now) {
+		e.tell(item.ID, nil)
+	}
+	for _, item := range e.queue.Expire(now) {
+		e.tell(item.ID, errExpired)
+	}
+}
+
+func (e *endpoint) tell(attempt string, err error) {
+	if granted := e.waiting[attempt]; granted != nil {
+		delete(e.waiting, attempt)
+		granted <- err
+	}
+}
+
+// begin records that a request was sent.
+func (e *endpoint) begin(attempt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running[attempt] = &running{begin: e.dispatcher.now()}
+}
+
+// learn takes the outcome of a request as evidence. The time is that from the first byte sent to the head of the
+// response.
+func (e *endpoint) learn(o faultfilter.Outcome, took time.Duration) {
+	e.mu.Lock()
+	now := e.dispatcher.now()
+	if o == faultfilter.Failure && took > time.Duration(promptShare*float64(e.service)) {
+		o = faultfilter.LateFailure
+	}
+	e.filter.Observe(now, o)
+	e.outcome, e.observed = now, true
+	if o == faultfilter.Success {
+		e.service += time.Duration(serviceWeight * float64(took-e.service))
+	}
+	changed := e.shifted(now)
+	e.mu.Unlock()
+	if changed {
+		e.dispatcher.options.Changed()
+	}
+}
+
+// shifted reports whether the other nodes should learn of the endpoint's condition at once: it has crossed the line
+// between good and doubtful. The caller holds the lock.
+func (e *endpoint) shifted(now time.Duration) bool {
+	p := e.filter.Probability(now)
+	crossed := (p >= doubt) != (e.told >= doubt)
+	if crossed {
+		e.told = p
+	}
+	return crossed
+}
+
+// turn looks for stalled requests and lets waiting ones run. It reports whether the other nodes should be told.
+func (e *endpoint) turn() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.dispatcher.now()
+	limit := max(time.Duration(stallFactor*float64(e.service)), minStall)
+	for _, r := range e.running {
+		if !r.stalled && now-r.begin > limit {
+			r.stalled = true
+			e.filter.Observe(now, faultfilter.Stalled)
+			e.outcome, e.observed = now, true
+		}
+	}
+	e.advance(now)
+	return e.shifted(now)
+}
--- /dev/null
+++ b/pkg/dispatch/server.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const (
+	stepHop = "hop"
+	// hopBodyPrefixBytes is read before a request is queued; the rest of a larger body waits in the connection.
+	hopBodyPrefixBytes = 64 << 10
+	hopBodyLimitBytes  = 1 << 40
+	hopBodyTimeout     = 10 * time.Second
+)
+
+// ServeHop handles an attempt of another node.
+func (d *Dispatcher) ServeHop(parent context.Context, c *app.RequestContext) {
+	meta, err := hop.Read(&c.Request.Header)
+	if err != nil {
+		hop.WriteFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepHop, "", err))
+		return
+	}
+	ctx, cancel := relay.WithDeadline(parent, meta.Remaining)
+	defer cancel()
+	hop.Echo(c, meta)
+	body, err := relay.ReadBody(c, hopBodyPrefixBytes, hopBodyLimitBytes, hopBodyTimeout)
+	if err != nil {
+		c.SetConnectionClose()
+		hop.WriteFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepHop, "", err))
+		return
+	}
+	defer relay.WatchDisconnect(c, body)()
+	request := &Request{Meta: *meta, Transport: BackendRequest(relay.RequestHead(&c.Request), body)}
+	response, failure := d.Do(ctx, request)
+	d.report(c, meta.Endpoint)
+	if failure != nil {
+		if !body.Whole() {
+			c.SetConnectionClose()
+		}
+		hop.WriteFailure(c, failure)
+		return
+	}
+	defer response.Close()
+	relay.CopyResponseHead(&c.Response, response.Head)
+	hop.Echo(c, meta)
+	d.report(c, meta.Endpoint)
+	c.Response.Header.Set(outcome.HeaderOutcome, string(outcome.Answered))
+	if err := relay.WriteResponse(c, response); err != nil {
+		d.recordCut(request, err)
+	}
+}
+
+// BackendRequest builds the request for the backend server.
+func BackendRequest(head *protocol.Request, body *relay.Body) *transport.Request {
+	request := &transport.Request{Head: head}
+	request.Head.Header.Del(outcome.HeaderRequestID)
+	request.Head.Header.Del(outcome.HeaderDeadline)
+	body.Attach(request)
+	return request
+}
+
+// report adds the endpoint's condition to a response.
+func (d *Dispatcher) report(c *app.RequestContext, endpoint string) {
+	report, ok := d.Report(endpoint)
+	if !ok {
+		return
+	}
+	if text, err := json.Marshal(report); err == nil {
+		c.Response.Header.Set(outcome.HeaderHopLoad, string(text))
+	}
+}
+
+func (d *Dispatcher) recordCut(r *Request, err error) {
+	var exchange *transport.Error
+	reason := outcome.ReasonCancelled
+	if errors.As(err, &exchange) {
+		reason = outcome.ReasonBodyCut
+	}
+	d.record(r, outcome.Lose(0, reason, string(transport.StepBody), r.Endpoint, err))
+}
--- /dev/null
+++ b/pkg/forward/choose.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"time"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/placement"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/retrybudget"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/reports"
+)
+
+const (
+	// Round-trip times to other hosts. Those between zones are a few milliseconds one way.
+	zoneRoundTrip  = 500 * time.Microsecond
+	otherRoundTrip = 8 * time.Millisecond
+	// defaultService is the assumed time for a request at an endpoint that has not reported.
+	defaultService = 150 * time.Millisecond
+	// warmUpFactor is how much slower an endpoint is assumed to be right after its start.
+	warmUpFactor = 2
+	// loadLifetime is how long a reported load is used. Afterwards only what this node sent counts.
+	loadLifetime = 1500 * time.Millisecond
+	// never is the age of an outcome at an endpoint that has not reported any.
+	never = time.Minute
+	// exploreReserve is the number of repeats that must be left in the budget for a request to probe an endpoint.
+	exploreReserve = 1.5
+	// exploreTime is the time that must be left, in units of the usual service time.
+	exploreTime = 4
+)
+
+// pick is a chosen endpoint.
+type pick struct {
+	endpoint *registry.Endpoint
+	host     string
+	number   int
+	reason   placement.Reason
+	// service is the time that the endpoint is expected to need.
+	service time.Duration
+	// elsewhere is set if the dispatcher shall refuse the request as busy rather than let it wait.
+	elsewhere bool
+}
+
+// choose takes an endpoint that was not tried yet, or returns nil.
+func (f *Forwarder) choose(fl *flight) *pick {
+	view := f.options.View()
+	endpoints := view.ByService[fl.request.service]
+	now := f.options.Clock.Now()
+	candidates := make([]placement.Candidate, 0, len(endpoints))
+	usable := make([]*registry.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if c, ok := f.candidate(now, e); ok {
+			c.Tried = fl.tried[e.ID]
+			candidates = append(candidates, c)
+			usable = append(usable, e)
+		}
+	}
+	r := placement.Request{
+		Repeatable:    fl.request.repeatable(),
+		Large:         fl.request.route.Kind == routing.Download,
+		MayExplore:    f.mayExplore(fl),
+		TargetLatency: fl.request.route.TargetLatency,
+	}
+	f.mu.Lock()
+	n, reason := placement.Choose(f.rng, r, candidates)
+	f.mu.Unlock()
+	if n < 0 {
+		return nil
+	}
+	p := &pick{
+		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason, service: candidates[n].ServiceTime,
+		elsewhere: fl.bounces < maxBounces && len(usable) > len(fl.tried)+1,
+	}
+	f.recordChoice(fl, p, r, &candidates[n], len(candidates), view.Revision)
+	return p
+}
+
+// candidate describes an endpoint for the choice. It returns false if the endpoint takes no work.
+func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint) (placement.Candidate, bool) {
+	host := registry.HostOf(e.Address)
+	c := placement.Candidate{
+		Slots: e.Slots, ServiceTime: defaultService, SinceOutcome: never, RoundTrip: zoneRoundTrip,
+		OtherZone: e.Zone != f.options.Zone, FailProbability: faultfilter.Initial,
+	}
+	if c.OtherZone {
+		c.RoundTrip = otherRoundTrip
+	}
+	known, ok := f.options.Conditions.Endpoint(e.ID)
+	if host == f.options.IP {
+		if f.options.Dispatcher.Leaving() {
+			return c, false
+		}
+		c.RoundTrip = 0
+		var own reports.Endpoint
+		own, ok = f.options.Dispatcher.Report(e.ID)
+		known = reports.Known{Endpoint: own, At: now}
+	} else {
+		var leaving bool
+		if c.PathProbability, leaving = f.options.Conditions.Path(host); leaving {
+			return c, false
+		}
+	}
+	if ok {
+		f.apply(now, &c, known)
+	}
+	if now < e.WarmUntil {
+		c.ServiceTime *= warmUpFactor
+	}
+	return c, true
+}
+
+// apply adds a report to a candidate.
+func (f *Forwarder) apply(now time.Duration, c *placement.Candidate, known reports.Known) {
+	age := now - known.At
+	c.FailProbability = faultfilter.Project(float64(known.FailPerMille)/1000, age)
+	c.Sent = known.Sent
+	if age < loadLifetime {
+		c.Busy, c.Queued = known.Busy, known.Queued
+	}
+	if known.ServiceMS > 0 {
+		c.ServiceTime = time.Duration(known.ServiceMS) * time.Millisecond
+	}
+	if known.OutcomeMS >= 0 {
+		c.SinceOutcome = time.Duration(known.OutcomeMS)*time.Millisecond + age
+	}
+}
+
+// mayExplore reports whether a failure of the next attempt can be made good by another one.
+func (f *Forwarder) mayExplore(fl *flight) bool {
+	if !fl.repeatable() || fl.arrived > 0 || len(fl.open) > 0 || fl.request.route.Attempts < 2 {
+		return false
+	}
+	if time.Until(fl.request.deadline) < exploreTime*defaultService {
+		return false
+	}
+	left := 0.0
+	f.withBudget(fl.request.service, func(b *retrybudget.Budget, now time.Duration, nodes int) { left = b.Left(now, nodes) })
+	return left >= exploreReserve
+}
+
+func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates int, revision uint64) {
+	f.options.Decisions.Record(decision.Decision{
+		RequestID: fl.request.id, Step: stepChoose, Service: fl.request.service, Route: fl.request.route.Name,
+		Taken: p.endpoint.ID, Peer: p.host, Reason: string(p.reason),
+		Inputs: map[string]any{
+			"candidates": candidates, "endpoints_revision": revision, "config_version": fl.request.version,
+			"fail": round(c.FailProbability), "path": round(c.PathProbability), "busy": c.Busy, "queued": c.Queued,
+			"sent": c.Sent, "service_ms": c.ServiceTime.Milliseconds(), "outcome_age_ms": c.SinceOutcome.Milliseconds(),
+			"cost_ms": int(placement.Cost(r, c) * 1000),
+		},
+	})
+}
+
+// round keeps three digits, which is what the reports carry.
+func round(p float64) float64 {
+	return float64(int(p*1000+0.5)) / 1000
+}
--- /dev/null
+++ b/pkg/forward/forwarder.go
@@ -0,0 +1,182 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/retrybudget"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/attempts"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/dialect"
+	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// Conditions tells what is known of endpoints and of the paths to their hosts. *reports.Service implements it.
+type Conditions interface {
+	Endpoint(id string) (reports.Known, bool)
+	ObserveEndpoint(e reports.Endpoint)
+	CountSent(id string)
+	Path(ip string) (broken float64, leaving bool)
+	ObservePath(ip string, outcome faultfilter.Outcome)
+	Nodes() int
+}
+
+// Inquirer asks the dispatcher of a host what became of an attempt. One that the dispatcher does not know will not run.
+type Inquirer interface {
+	Inquire(ctx context.Context, ip, attempt string) (attempts.State, error)
+	// Withdraw does the same after taking the attempt out of the queue if it still waits for a slot.
+	Withdraw(ctx context.Context, ip, attempt string) (attempts.State, error)
+}
+
+// Options are the parts that a forwarder works with.
+type Options struct {
+	IP   string
+	Zone string
+	// HopPort is the port on which the nodes take requests of each other.
+	HopPort int
+	// CallerService returns the service whose endpoint runs beside this node.
+	CallerService func() string
+	Table         func() *routing.Table
+	View          func() *registry.View
+	Conditions    Conditions
+	Dispatcher    *dispatch.Dispatcher
+	Inquirer      Inquirer
+	Headers       dialect.Headers
+	Budget        retrybudget.Settings
+	Clock         clock.Clock
+	Decisions     *decision.Recorder
+	Metrics       *telemetry.Metrics
+}
+
+// Forwarder serves callers. It is safe for concurrent use.
+type Forwarder struct {
+	options  Options
+	ids      *attempts.IDs
+	stats    transport.Stats
+	closing  atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	pools   map[string]*transport.Pool
+	budgets map[string]*retrybudget.Budget
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{
+		options: options,
+		ids:     attempts.NewIDs(),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pools:   make(map[string]*transport.Pool),
+		budgets: make(map[string]*retrybudget.Budget),
+		done:    make(chan struct{}),
+	}
+}
+
+// Start begins to look after the connections to other nodes.
+func (f *Forwarder) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.maintain(ctx)
+	return nil
+}
+
+// Stop closes idle connections.
+func (f *Forwarder) Stop(ctx context.Context) error {
+	f.cancel()
+	f.mu.Lock()
+	for _, pool := range f.pools {
+		pool.Close()
+	}
+	f.mu.Unlock()
+	return kernel.AwaitClosed(ctx, f.done, "connections to other nodes")
+}
+
+// Close tells callers from now on to close their connections.
+func (f *Forwarder) Close() {
+	f.closing.Store(true)
+}
+
+// InFlight returns the number of requests of callers that are being served.
+func (f *Forwarder) InFlight() int {
+	return int(f.inFlight.Load())
+}
+
+const (
+	// hopConnectTimeout is a few round trips between zones. A connection that takes longer runs over a bad path.
+	hopConnectTimeout = 300 * time.Millisecond
+	// hopIdleTimeout is short, because a connection that is not used may go silent unnoticed.
+	hopIdleTimeout = 5 * time.Second
+	hopMaxIdle     = 16
+	// maintainPeriod is how often idle connections are looked at.
+	maintainPeriod = time.Second
+)
+
+func (f *Forwarder) maintain(ctx context.Context) {
+	defer close(f.done)
+	ticker := time.NewTicker(maintainPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.mu.Lock()
+			for _, pool := range f.pools {
+				pool.Maintain(now)
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+// pool returns the connections to the dispatcher of a host.
+func (f *Forwarder) pool(ip string) *transport.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pool := f.pools[ip]
+	if pool == nil {
+		pool = transport.NewPool(net.JoinHostPort(ip, strconv.Itoa(f.options.HopPort)), transport.Options{
+			ConnectTimeout: hopConnectTimeout, IdleTimeout: hopIdleTimeout, MaxIdle: hopMaxIdle,
+		}, &f.stats)
+		f.pools[ip] = pool
+	}
+	return pool
+}
+
+// withBudget runs a function on the retry budget of a service.
+func (f *Forwarder) withBudget(service string, use func(b *retrybudget.Budget, now time.Duration, nodes int)) {
+	nodes := f.options.Conditions.Nodes()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.budgets[service]
+	if b == nil {
+		b = retrybudget.New(f.options.Budget)
+		f.budgets[service] = b
+	}
+	use(b, f.options.Clock.Now(), nodes)
+}
+
+// random returns a uniform draw in [0, 1).
+func (f *Forwarder) random() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
--- /dev/null
+++ b/pkg/forward/handler.go
@@ -0,0 +1,252 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/retrybudget"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/attempts"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+// Steps in decision lines.
+const (
+	stepAccept  = "accept"
+	stepRoute   = "route"
+	stepBody    = "body"
+	stepChoose  = "choose"
+	stepSend    = "send"
+	stepRetry   = "retry"
+	stepRespond = "respond"
+)
+
+const (
+	// bodyPrefixBytes is the part of a request body kept in memory. A body that fits may be sent more than once.
+	bodyPrefixBytes = 64 << 10
+	// defaultBodyBytes and defaultReadTimeout are used where the configuration sets no limits.
+	defaultBodyBytes   = 64 << 20
+	defaultReadTimeout = 10 * time.Second
+	// retryAfterShare is the largest part of the time left that a caller is asked to wait.
+	retryAfterShare = 0.3
+	// retryAfterMin and retryAfterSpread are the shortest wait and the range over which returns are spread. A full queue
+	// drains within a few service times.
+	retryAfterMin    = 150 * time.Millisecond
+	retryAfterSpread = 350 * time.Millisecond
+	// notReadyRetryAfter is for a node that does not know the configuration yet.
+	notReadyRetryAfter = 500 * time.Millisecond
+	// addedUnknown tells the metrics that the part of the duration spent outside the backend server is not known.
+	addedUnknown = -1
+)
+
+// request is a caller's request that passed the checks.
+type request struct {
+	id       string
+	route    *routing.Route
+	service  string
+	version  uint64
+	head     *protocol.Request
+	body     *relay.Body
+	arrived  time.Time
+	deadline time.Time
+}
+
+func (r *request) repeatable() bool {
+	return r.route.Kind.Repeatable()
+}
+
+// Serve handles a caller's request.
+func (f *Forwarder) Serve(parent context.Context, c *app.RequestContext) {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	arrived := time.Now()
+	id := c.Request.Header.Get(f.options.Headers.RequestID)
+	r, failure := f.accept(c, id, arrived)
+	if failure != nil {
+		f.refuse(c, id, r, failure)
+		return
+	}
+	ctx, cancel := relay.WithDeadline(parent, time.Until(r.deadline))
+	defer cancel()
+	defer relay.WatchDisconnect(c, r.body)()
+	a, failure := f.fly(ctx, r)
+	if failure != nil {
+		f.refuse(c, id, r, failure)
+		return
+	}
+	f.respond(c, r, a)
+}
+
+// accept checks a request, finds its route and reads the beginning of its body.
+func (f *Forwarder) accept(c *app.RequestContext, id string, arrived time.Time) (*request, *outcome.Error) {
+	table := f.options.Table()
+	if table == nil {
+		c.SetConnectionClose()
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, stepAccept, "", nil)
+	}
+	if err := relay.CheckFraming(&c.Request.Header); err != nil {
+		c.SetConnectionClose()
+		return nil, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepAccept, "", err)
+	}
+	if !attempts.ValidID(id) {
+		c.SetConnectionClose()
+		return nil, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepAccept, "", errors.New("the request has no usable id"))
+	}
+	route := table.Match(string(c.Request.Header.Host()), string(c.Path()))
+	if route == nil {
+		return nil, outcome.Refuse(http.StatusNotFound, outcome.ReasonNoRoute, stepRoute, "", nil)
+	}
+	r := &request{
+		id: id, route: route, version: table.Version(), service: route.Pick(f.random()),
+		arrived: arrived, deadline: arrived.Add(f.allowed(c, route)),
+	}
+	limits := table.Limits()
+	body, err := relay.ReadBody(c, bodyPrefixBytes, orDefault(limits.BodyBytes, defaultBodyBytes), orDefault(limits.HeaderTimeout, defaultReadTimeout))
+	if err != nil {
+		c.SetConnectionClose()
+		return r, bodyFailure(err)
+	}
+	r.body = body
+	r.head = relay.RequestHead(&c.Request)
+	f.withBudget(r.service, func(b *retrybudget.Budget, now time.Duration, _ int) { b.Request(now) })
+	return r, nil
+}
+
+// allowed returns the time that a request may take: the route's timeout or what the caller waits, if that is shorter.
+func (f *Forwarder) allowed(c *app.RequestContext, route *routing.Route) time.Duration {
+	limit := route.Timeout
+	asked, err := strconv.ParseInt(c.Request.Header.Get(f.options.Headers.DeadlineMS), 10, 64)
+	if err == nil && asked >= 0 && time.Duration(asked)*time.Millisecond < limit {
+		limit = time.Duration(asked) * time.Millisecond
+	}
+	return limit
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func bodyFailure(err error) *outcome.Error {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, relay.ErrBodyTooLarge):
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge, stepBody, "", err)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonBodyTimeout, stepBody, "", err)
+	default:
+		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, "", err)
+	}
+}
+
+// respond passes an answer on.
+func (f *Forwarder) respond(c *app.RequestContext, r *request, a *answer) {
+	defer a.close()
+	relay.CopyResponseHead(&c.Response, a.response.Head)
+	c.Response.Header.Del(outcome.HeaderRequestID)
+	f.identify(c)
+	var err error
+	if a.whole {
+		c.Response.SetBody(a.prefix)
+	} else {
+		a.response.Body = io.MultiReader(bytes.NewReader(a.prefix), a.response.Body)
+		err = relay.WriteResponse(c, a.response)
+	}
+	result, reason := outcome.Answered, "passed-on"
+	if err != nil {
+		result, reason = outcome.Unknown, string(cutReason(err))
+	}
+	f.options.Metrics.Request(r.service, result, time.Since(r.arrived), addedUnknown)
+	f.options.Decisions.Record(decision.Decision{
+		RequestID: r.id, Step: stepRespond, Service: r.service, Route: r.route.Name, Taken: a.pick.endpoint.ID,
+		Peer: a.pick.host, Outcome: string(result), Reason: reason,
+		Inputs: map[string]any{
+			"status": a.response.Head.StatusCode(), "attempt": a.pick.number, "ms": time.Since(r.arrived).Milliseconds(),
+			"config_version": r.version,
+		},
+	})
+}
+
+func cutReason(err error) outcome.Reason {
+	var exchange *transport.Error
+	if errors.As(err, &exchange) {
+		return outcome.ReasonBodyCut
+	}
+	return outcome.ReasonCancelled
+}
+
+// identify sets what every response to a caller carries.
+func (f *Forwarder) identify(c *app.RequestContext) {
+	if f.closing.Load() {
+		c.Response.SetConnectionClose()
+	}
+}
+
+// refusal is the body of a response that did not come from a backend server.
+type refusal struct {
+	Outcome   outcome.Outcome `json:"outcome"`
+	Reason    outcome.Reason  `json:"reason"`
+	RequestID string          `json:"request_id"`
+}
+
+// refuse tells the caller that its request was not answered, and why. The request is nil if it was not accepted.
+func (f *Forwarder) refuse(c *app.RequestContext, id string, r *request, failure *outcome.Error) {
+	f.identify(c)
+	c.Response.SetStatusCode(failure.Status)
+	c.Response.Header.Set(f.options.Headers.RequestID, id)
+	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
+	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
+	c.Response.Header.SetContentType("application/json")
+	if failure.Outcome == outcome.NotRun && failure.Status == http.StatusServiceUnavailable {
+		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r).Seconds(), 'f', 3, 64))
+	}
+	// The fields are plain strings, which always encode.
+	text, _ := json.Marshal(refusal{Outcome: failure.Outcome, Reason: failure.Reason, RequestID: id})
+	c.Response.SetBody(append(text, '\n'))
+	if r != nil && r.body != nil && !r.body.Whole() {
+		c.SetConnectionClose()
+	}
+	f.recordRefusal(id, r, failure)
+}
+
+// retryAfter spreads the returns of refused callers over the time in which a queue drains.
+func (f *Forwarder) retryAfter(r *request) time.Duration {
+	if r == nil {
+		return notReadyRetryAfter
+	}
+	wait := retryAfterMin + time.Duration(f.random()*float64(retryAfterSpread))
+	return max(min(wait, time.Duration(retryAfterShare*float64(time.Until(r.deadline)))), 0)
+}
+
+func (f *Forwarder) recordRefusal(id string, r *request, failure *outcome.Error) {
+	d := decision.Decision{
+		RequestID: id, Step: failure.Step, Outcome: string(failure.Outcome), Reason: string(failure.Reason),
+		Peer: failure.Peer, Inputs: map[string]any{"status": failure.Status},
+	}
+	if failure.Err != nil {
+		d.Inputs["error"] = failure.Err.Error()
+	}
+	if r != nil {
+		d.Service, d.Route = r.service, r.route.Name
+		d.Inputs["config_version"], d.Inputs["ms"] = r.version, time.Since(r.arrived).Milliseconds()
+		f.options.Metrics.Request(d.Service, failure.Outcome, time.Since(r.arrived), addedUnknown)
+	}
+	f.options.Metrics.Refused(d.Service, failure.Reason)
+	f.options.Decisions.Record(d)
+}
--- /dev/null
+++ b/pkg/forward/send.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/attempts"
+	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/inquiry"
+	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const (
+	stepInquire = "inquire"
+	// inquireTimeout bounds how long a lost connection delays the report of an unknown outcome.
+	inquireTimeout = 400 * time.Millisecond
+	// inquireFactor is the age, in units of the expected service time, from which an attempt is inquired about, and
+	// minInquire the least age.
+	inquireFactor = 3
+	minInquire    = 300 * time.Millisecond
+	// bufferLimit is the part of a response body that is read before the caller gets the first byte. A response that
+	// breaks off within it can still be replaced by that of another attempt.
+	bufferLimit = 1 << 20
+)
+
+// try makes an attempt and reads the beginning of the answer.
+func (f *Forwarder) try(ctx context.Context, cancel context.CancelFunc, r *request, p *pick) result {
+	response, failure := f.send(ctx, r, p)
+	if failure != nil {
+		cancel()
+		return result{pick: p, failure: failure}
+	}
+	a := &answer{response: response, pick: p, cancel: cancel}
+	if failure := a.read(); failure != nil {
+		a.close()
+		return result{pick: p, failure: failure}
+	}
+	return result{pick: p, answer: a}
+}
+
+// read reads the beginning of the body.
+func (a *answer) read() *outcome.Error {
+	prefix, err := io.ReadAll(io.LimitReader(a.response.Body, bufferLimit))
+	if err != nil {
+		status := http.StatusBadGateway
+		if transport.IsTimeout(err) {
+			status = http.StatusGatewayTimeout
+		}
+		return outcome.Lose(status, outcome.ReasonBodyCut, stepSend, a.pick.host, err)
+	}
+	a.prefix, a.whole = prefix, len(prefix) < bufferLimit
+	return nil
+}
+
+// send makes one attempt: directly if the endpoint is beside this node, over the inner hop otherwise.
+func (f *Forwarder) send(ctx context.Context, r *request, p *pick) (*transport.Response, *outcome.Error) {
+	meta := hop.Meta{
+		RequestID:     r.id,
+		Attempt:       f.ids.Next(),
+		Service:       r.service,
+		Endpoint:      p.endpoint.ID,
+		Route:         r.route.Name,
+		Repeatable:    r.repeatable(),
+		Long:          r.route.Kind == routing.Download,
+		Elsewhere:     p.elsewhere,
+		Remaining:     time.Until(r.deadline),
+		Priority:      r.route.Priority,
+		CallerService: f.options.CallerService(),
+	}
+	if p.host == f.options.IP {
+		request := &dispatch.Request{Meta: meta, Transport: dispatch.BackendRequest(relay.CopyRequest(r.head), r.body)}
+		return f.options.Dispatcher.Do(ctx, request)
+	}
+	request := &transport.Request{Head: relay.CopyRequest(r.head)}
+	r.body.Attach(request)
+	meta.Write(&request.Head.Header)
+	return f.sendHop(ctx, p, &meta, request)
+}
+
+func (f *Forwarder) sendHop(ctx context.Context, p *pick, meta *hop.Meta, request *transport.Request) (*transport.Response, *outcome.Error) {
+	pending, err := f.pool(p.host).Send(ctx, request)
+	if err != nil {
+		return nil, f.lost(ctx, p, meta, err)
+	}
+	delay := max(inquireFactor*p.service, minInquire)
+	asking := inquiry.Start(ctx, delay, pending, func(ctx context.Context) (attempts.State, bool) {
+		return f.inquire(ctx, p, meta, f.options.Inquirer.Inquire)
+	})
+	response, err := pending.Await()
+	asking.Stop()
+	if err != nil {
+		return nil, f.lost(ctx, p, meta, err)
+	}
+	f.options.Conditions.ObservePath(p.host, faultfilter.Success)
+	return f.interpret(p, meta, response)
+}
+
+// interpret tells an answer of the endpoint from a refusal of its dispatcher.
+func (f *Forwarder) interpret(p *pick, meta *hop.Meta, response *transport.Response) (*transport.Response, *outcome.Error) {
+	header := &response.Head.Header
+	if header.Get(outcome.HeaderHopAttempt) != meta.Attempt {
+		f.options.Metrics.MismatchedAnswer()
+		response.Abort(errors.New("the answer belongs to another request"))
+		response.Close()
+		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonAnswerMismatch, stepSend, p.host, nil)
+	}
+	var report reports.Endpoint
+	if text := header.Get(outcome.HeaderHopLoad); text != "" && json.Unmarshal([]byte(text), &report) == nil {
+		f.options.Conditions.ObserveEndpoint(report)
+	}
+	told := outcome.Outcome(header.Get(outcome.HeaderOutcome))
+	if told == outcome.Answered {
+		return response, nil
+	}
+	failure := &outcome.Error{
+		Outcome: told, Reason: outcome.Reason(header.Get(outcome.HeaderReason)), Status: response.Head.StatusCode(),
+		Step: stepSend, Peer: p.host,
+	}
+	// The body of a refusal is empty; what cannot be read costs only the connection.
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Close()
+	if told != outcome.NotRun {
+		failure.Outcome = outcome.Unknown
+		failure.Status = max(failure.Status, http.StatusBadGateway)
+	}
+	return nil, failure
+}
+
+// lost classifies an attempt that ended without an answer of the dispatcher. If the request may have reached it, it is
+// asked over the peer connection.
+func (f *Forwarder) lost(ctx context.Context, p *pick, meta *hop.Meta, err error) *outcome.Error {
+	var exchange *transport.Error
+	sent := !errors.As(err, &exchange) || exchange.Sent
+	switch {
+	case !sent && ctx.Err() != nil:
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonCancelled, stepSend, p.host, err)
+	case !sent:
+		f.options.Conditions.ObservePath(p.host, faultfilter.Failure)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnect, stepSend, p.host, err)
+	case errors.Is(err, inquiry.ErrVoided):
+		f.options.Conditions.ObservePath(p.host, faultfilter.Stalled)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonSilent, stepInquire, p.host, err)
+	case errors.Is(err, inquiry.ErrSilent):
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSilent, stepInquire, p.host, err)
+	case errors.Is(err, transport.ErrBodySource):
+		return outcome.Lose(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, p.host, err)
+	case transport.IsTimeout(err):
+		return outcome.Lose(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepSend, p.host, err)
+	case ctx.Err() != nil:
+		return outcome.Lose(http.StatusBadGateway, outcome.ReasonCancelled, stepSend, p.host, err)
+	}
+	f.options.Conditions.ObservePath(p.host, faultfilter.Stalled)
+	if state, known := f.inquire(ctx, p, meta, f.options.Inquirer.Withdraw); known && state == attempts.NotRun {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnectionLost, stepInquire, p.host, err)
+	}
+	return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, p.host, err)
+}
+
+type question = func(ctx context.Context, ip, attempt string) (attempts.State, error)
+
+func (f *Forwarder) inquire(ctx context.Context, p *pick, meta *hop.Meta, ask question) (attempts.State, bool) {
+	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
+	defer cancel()
+	state, err := ask(ctx, p.host, meta.Attempt)
+	return state, err == nil
+}
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -11,7 +11,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 )
 
 // Meta describes one attempt to run a request.
@@ -31,6 +31,10 @@
 	Elsewhere bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
+	// Priority ranks the request among those of its service; lower values run first.
+	Priority int
+	// CallerService is the service on whose host the request originated, where the site tells backend servers.
+	CallerService string
 }
 
 const (
@@ -63,6 +67,12 @@
 	if m.Key != "" {
 		h.Set(outcome.HeaderKey, m.Key)
 	}
+	if m.Priority != 0 {
+		h.Set(outcome.HeaderHopPriority, strconv.Itoa(m.Priority))
+	}
+	if m.CallerService != "" {
+		h.Set(outcome.HeaderHopCaller, m.CallerService)
+	}
 }
 
 // Read extracts the description from the headers of a request.
@@ -71,6 +81,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("read header %s: %w", outcome.HeaderDeadline, err)
 	}
+	priority := 0
+	if text := h.Get(outcome.HeaderHopPriority); text != "" {
+		if priority, err = strconv.Atoi(text); err != nil {
+			return nil, fmt.Errorf("read header %s: %w", outcome.HeaderHopPriority, err)
+		}
+	}
 	class := strings.Split(h.Get(outcome.HeaderHopClass), ",")
 	m := &Meta{
 		RequestID:   h.Get(outcome.HeaderRequestID),
@@ -84,6 +100,9 @@
 		Elsewhere:   slices.Contains(class, flagElsewhere),
 		Long:        slices.Contains(class, classLong),
 		Remaining:   time.Duration(remaining) * time.Millisecond,
+
+		Priority:      priority,
+		CallerService: h.Get(outcome.HeaderHopCaller),
 	}
 	if m.Attempt == "" || m.Endpoint == "" {
 		return nil, fmt.Errorf("headers %s and %s are required", outcome.HeaderHopAttempt, outcome.HeaderHopEndpoint)
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -11,9 +11,10 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -63,10 +64,10 @@
 
 func (i *Ingress) requestID(c *app.RequestContext) string {
 	id := c.Request.Header.Get(outcome.HeaderRequestID)
-	if validRequestID(id) {
+	if attempts.ValidID(id) {
 		return id
 	}
-	return i.attempts.get()
+	return i.attempts.Next()
 }
 
 // accept checks a request and reads the beginning of its body. The returned function must be called at the end.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/quarantine"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -21,9 +22,9 @@
 // Inquirer asks owners about attempts.
 type Inquirer interface {
 	// Inquire returns what became of an attempt. If the owner does not know it, it will never run it.
-	Inquire(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error)
+	Inquire(ctx context.Context, host *config.Host, attempt string) (attempts.State, error)
 	// Withdraw returns the same, after taking the attempt out of the owner's queue if it was not dispatched yet.
-	Withdraw(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error)
+	Withdraw(ctx context.Context, host *config.Host, attempt string) (attempts.State, error)
 }
 
 // Hosts tells which hosts are leaving.
@@ -54,7 +55,7 @@
 type Ingress struct {
 	options    Options
 	started    time.Time
-	attempts   *attemptIDs
+	attempts   *attempts.IDs
 	pools      *pools
 	workspaces *workspaces
 	classes    *classes
@@ -74,7 +75,7 @@
 	return &Ingress{
 		options:    options,
 		started:    time.Now(),
-		attempts:   newAttemptIDs(),
+		attempts:   attempts.NewIDs(),
 		pools:      newPools(),
 		workspaces: newWorkspaces(),
 		classes:    newClasses(),
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/hop"
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/inquiry"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -20,13 +22,9 @@
 	stepInquire = "inquire"
 	// inquireTimeout bounds how long a lost connection delays the report of an unknown outcome.
 	inquireTimeout = 500 * time.Millisecond
-	// answerGrace is the time that an answer may need from the owner to the ingress after the owner has reported it.
-	answerGrace = 100 * time.Millisecond
 )
 
 var (
-	errVoided = errors.New("the owner has not run the request and will not run it")
-	errSilent = errors.New("the answer was lost on a silent connection")
 	errRescue = errors.New("the endpoint became suspect")
 	errProbe  = errors.New("the probe was not answered in time")
 )
@@ -35,7 +33,7 @@
 func (i *Ingress) send(ctx context.Context, v *view, r *request, p *pick) (*transport.Response, *outcome.Error) {
 	meta := hop.Meta{
 		RequestID:   r.id,
-		Attempt:     i.attempts.get(),
+		Attempt:     i.attempts.Next(),
 		Service:     r.service.Name,
 		Endpoint:    p.entry.id,
 		Route:       r.route.ID,
@@ -91,9 +89,9 @@
 		return nil, i.lost(ctx, p, meta, err)
 	}
 	i.prepareRescue(ctx, v, r, p, meta, pending.Abort)
-	inquiry := i.inquireLater(ctx, v.slowAfter(r, p), p, meta, pending)
+	asking := inquiry.Start(ctx, v.slowAfter(r, p), pending, i.ask(p, meta))
 	response, err := pending.Await()
-	inquiry.stop()
+	asking.Stop()
 	if err != nil {
 		return nil, i.lost(ctx, p, meta, err)
 	}
@@ -130,8 +128,8 @@
 	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
 	defer cancel()
 	state, err := i.options.Inquirer.Withdraw(ctx, p.entry.host, meta.Attempt)
-	if err == nil && state == owner.AttemptNotRun {
-		abort(errVoided)
+	if err == nil && state == attempts.NotRun {
+		abort(inquiry.ErrVoided)
 	}
 }
 
@@ -186,9 +184,9 @@
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonCancelled, stepSend, peer, err)
 	case !sent:
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnect, stepSend, peer, err)
-	case errors.Is(err, errVoided):
+	case errors.Is(err, inquiry.ErrVoided):
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonSilent, stepInquire, peer, err)
-	case errors.Is(err, errSilent):
+	case errors.Is(err, inquiry.ErrSilent):
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSilent, stepInquire, peer, err)
 	case errors.Is(err, errRescue):
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonSuspect, stepSend, peer, err)
@@ -201,13 +199,13 @@
 	case ctx.Err() != nil:
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonCancelled, stepSend, peer, err)
 	}
-	if state, known := i.inquire(ctx, p, meta); known && state == owner.AttemptNotRun {
+	if state, known := i.inquire(ctx, p, meta); known && state == attempts.NotRun {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnectionLost, stepInquire, peer, err)
 	}
 	return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, peer, err)
 }
 
-func (i *Ingress) inquire(ctx context.Context, p *pick, meta *hop.Meta) (owner.AttemptState, bool) {
+func (i *Ingress) inquire(ctx context.Context, p *pick, meta *hop.Meta) (attempts.State, bool) {
 	if i.options.Inquirer == nil {
 		return "", false
 	}
@@ -217,64 +215,10 @@
 	return state, err == nil
 }
 
-// inquiry asks the owner about an attempt that stays without an answer, again and again at growing distances.
-type inquiry struct {
-	done chan struct{}
-}
-
-func (q *inquiry) stop() {
-	close(q.done)
-}
-
-func (i *Ingress) inquireLater(ctx context.Context, delay time.Duration, p *pick, meta *hop.Meta, pending *transport.Pending) *inquiry {
-	q := &inquiry{done: make(chan struct{})}
-	if i.options.Inquirer != nil {
-		time.AfterFunc(delay, func() { i.runInquiry(ctx, delay, p, meta, pending, q) })
-	}
-	return q
-}
-
-func (i *Ingress) runInquiry(ctx context.Context, delay time.Duration, p *pick, meta *hop.Meta, pending *transport.Pending, q *inquiry) {
-	answered := false
-	for !q.stopped() {
-		received := pending.Received()
-		state, known := i.inquire(ctx, p, meta)
-		wait := delay
-		switch {
-		case known && state == owner.AttemptNotRun:
-			pending.Abort(errVoided)
-			return
-		case known && state == owner.AttemptAnswered && answered:
-			pending.Abort(errSilent)
-			return
-		case known && state == owner.AttemptAnswered:
-			answered = true
-			wait = answerGrace
-		default:
-			delay *= 2
-		}
-		if !q.sleep(wait) || pending.Received() != received {
-			return
-		}
-	}
-}
-
-func (q *inquiry) stopped() bool {
-	select {
-	case <-q.done:
-		return true
-	default:
-		return false
-	}
-}
-
-func (q *inquiry) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-q.done:
-		return false
-	case <-timer.C:
-		return true
+// ask returns how to ask the owner about an attempt, or nil if nobody can be asked.
+func (i *Ingress) ask(p *pick, meta *hop.Meta) inquiry.Ask {
+	if i.options.Inquirer == nil {
+		return nil
 	}
+	return func(ctx context.Context) (attempts.State, bool) { return i.inquire(ctx, p, meta) }
 }
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/health"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/retry"
 	"agatepulley.example/agatepulley/pkg/decision"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -15,12 +15,13 @@
 
 	"github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/httpserver"
 	"agatepulley.example/agatepulley/pkg/ingress"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -43,12 +44,12 @@
 	asked  atomic.Int32
 }
 
-func (q *inquirer) Inquire(_ context.Context, host *config.Host, attempt string) (owner.AttemptState, error) {
+func (q *inquirer) Inquire(_ context.Context, host *config.Host, attempt string) (attempts.State, error) {
 	q.asked.Add(1)
 	return q.owners[host.ID].Inquire(attempt), nil
 }
 
-func (q *inquirer) Withdraw(_ context.Context, host *config.Host, attempt string) (owner.AttemptState, error) {
+func (q *inquirer) Withdraw(_ context.Context, host *config.Host, attempt string) (attempts.State, error) {
 	return q.owners[host.ID].Withdraw(attempt), nil
 }
 
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -9,11 +9,11 @@
 
 	"agatepulley.example/agatepulley/core/balance"
 	"agatepulley.example/agatepulley/core/health"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/retry"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 const (
--- a/pkg/ingress/view_test.go
+++ b/pkg/ingress/view_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/retry"
 	"agatepulley.example/agatepulley/pkg/config"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 // Guards against settings of a service in use that a new configuration changes without effect.
--- /dev/null
+++ b/pkg/lifecycle/lifecycle.go
@@ -0,0 +1,71 @@
+// Package lifecycle is the state machine of a node: starting, joining, serving, draining, stopped.
+package lifecycle
+
+import (
+	"log/slog"
+
+	"github.com/qmuntal/stateless"
+)
+
+// State is a state of the node's life cycle.
+type State string
+
+// States of the life cycle.
+const (
+	Starting State = "starting"
+	Joining  State = "joining"
+	Serving  State = "serving"
+	Draining State = "draining"
+	Stopped  State = "stopped"
+)
+
+// Trigger moves a node from one state to the next.
+type Trigger string
+
+// Triggers of the life cycle.
+const (
+	Started Trigger = "started"
+	Joined  Trigger = "joined"
+	Stop    Trigger = "stop"
+	Drained Trigger = "drained"
+)
+
+// Machine is the life cycle of one node. It is safe for concurrent use.
+type Machine struct {
+	machine *stateless.StateMachine
+	logger  *slog.Logger
+}
+
+// New returns the life cycle of a node that is starting.
+func New(logger *slog.Logger) *Machine {
+	m := stateless.NewStateMachine(Starting)
+	m.Configure(Starting).Permit(Started, Joining)
+	m.Configure(Joining).
+		Permit(Joined, Serving).
+		Permit(Stop, Draining)
+	m.Configure(Serving).
+		Permit(Stop, Draining).
+		Ignore(Joined)
+	m.Configure(Draining).
+		Permit(Drained, Stopped).
+		Ignore(Joined).
+		Ignore(Stop)
+	return &Machine{machine: m, logger: logger}
+}
+
+// State returns the present state.
+func (m *Machine) State() State {
+	return m.machine.MustState().(State)
+}
+
+// Fire applies a trigger and logs the change.
+func (m *Machine) Fire(trigger Trigger) {
+	before := m.State()
+	if err := m.machine.Fire(trigger); err != nil {
+		m.logger.Error("life cycle", "trigger", string(trigger), "state", string(before), "error", err)
+		return
+	}
+	if after := m.State(); after != before {
+		m.logger.Info("node state", "from", string(before), "to", string(after))
+	}
+}
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/load"
 	"agatepulley.example/agatepulley/pkg/load/pattern"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 const hangGuard = 20 * time.Second
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/load/pattern"
-	"agatepulley.example/agatepulley/pkg/outcome"
 )
 
 // HeaderToken identifies one sending of a request. Two sendings with the same key have different tokens.
--- /dev/null
+++ b/pkg/member/member.go
@@ -0,0 +1,248 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/retrybudget"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/dialect"
+	"agatepulley.example/agatepulley/pkg/discovery"
+	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/forward"
+	"agatepulley.example/agatepulley/pkg/httpserver"
+	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
+	"agatepulley.example/agatepulley/pkg/peer"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+)
+
+// Names under which the services of a node are registered with the kernel.
+const (
+	serviceDecisions  = "decision.recorder"
+	serviceTelemetry  = "telemetry.metrics"
+	servicePeers      = "peer.network"
+	serviceReports    = "peer.reports"
+	serviceDiscovery  = "discovery"
+	serviceDispatcher = "dispatcher"
+	serviceForwarder  = "forwarder"
+	serviceHops       = "server.hop"
+	serviceCallers    = "server.callers"
+	serviceAdmin      = "server.admin"
+)
+
+// startTimeout bounds the start of all services.
+const startTimeout = 10 * time.Second
+
+// Site is what a node needs to know of the platform it runs on, beside its settings.
+type Site struct {
+	Store   discovery.Store
+	Headers dialect.Headers
+	// Reload reads the settings again.
+	Reload func() (*Settings, error)
+}
+
+// Member is one node of the fleet.
+type Member struct {
+	settings    atomic.Pointer[Settings]
+	site        Site
+	logger      *slog.Logger
+	incarnation uint64
+	started     time.Time
+	clock       clock.Clock
+	kernel      *kernel.Kernel
+	life        *lifecycle.Machine
+
+	telemetry  *telemetry.Telemetry
+	decisions  *decision.Recorder
+	peers      *peer.Service
+	reports    *reports.Service
+	discovery  *discovery.Service
+	dispatcher *dispatch.Dispatcher
+	forwarder  *forward.Forwarder
+	hops       *httpserver.Server
+	callers    *httpserver.Server
+	admin      *admin.Server
+}
+
+// New assembles a node. Nothing runs before Run.
+func New(s *Settings, site Site, log *telemetry.Log) (*Member, error) {
+	tele, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{
+		site:        site,
+		logger:      log.Logger(),
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		clock:       clock.NewBoot(),
+		kernel:      kernel.New(),
+		life:        lifecycle.New(log.Logger()),
+		telemetry:   tele,
+		decisions:   decision.NewRecorder(log),
+	}
+	m.settings.Store(s)
+	m.peers = peer.New(peer.Options{
+		HostID: s.Name, Incarnation: m.incarnation, Zone: s.Zone, Listen: m.peerAddress(s.IP),
+		Clock: m.clock, Logger: m.logger, ExchangeInterval: noExchange,
+	})
+	m.reports = reports.New(reports.Options{
+		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
+		Fill: m.fillReport, Observe: m.observeReport,
+	})
+	m.discovery = discovery.New(discovery.Options{
+		Store: site.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
+		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
+	})
+	m.dispatcher = dispatch.New(dispatch.Options{
+		Backend: s.BackendAddress, Headers: site.Headers, Clock: m.clock, Decisions: m.decisions,
+		View: m.discovery.View, Changed: m.reports.Notify,
+	})
+	m.forwarder = m.newForwarder(s, site)
+	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop)
+	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve)
+	m.admin = admin.NewServer(s.AdminListen, admin.Sources{
+		Status: m, Readiness: m, Explainer: m.decisions, Metrics: tele.Handler(),
+	}, m.logger)
+	m.answerInquiries()
+	return m, errors.Join(m.register(), m.observeMetrics())
+}
+
+// noExchange turns off the periodic exchange of the peer protocol, which the reports replace.
+const noExchange = -1
+
+func (m *Member) newForwarder(s *Settings, site Site) *forward.Forwarder {
+	_, port, err := net.SplitHostPort(s.HopListen)
+	hopPort, convErr := strconv.Atoi(port)
+	if err != nil || convErr != nil {
+		m.logger.Error("hop address", "address", s.HopListen, "error", errors.Join(err, convErr))
+	}
+	return forward.New(forward.Options{
+		IP: s.IP, Zone: s.Zone, HopPort: hopPort,
+		CallerService: func() string { return m.settings.Load().Service },
+		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
+		Inquirer: &inquirer{member: m}, Headers: site.Headers,
+		Budget: retrybudget.Settings{Ratio: s.RetryRatio, Constant: s.RetryConstant, Window: s.RetryWindow},
+		Clock:  m.clock, Decisions: m.decisions, Metrics: m.telemetry.Metrics(),
+	})
+}
+
+func (m *Member) register() error {
+	services := []struct {
+		name    string
+		service any
+	}{
+		{serviceDecisions, m.decisions},
+		{serviceTelemetry, m.telemetry},
+		{serviceAdmin, m.admin},
+		{servicePeers, m.peers},
+		{serviceReports, m.reports},
+		{serviceDispatcher, m.dispatcher},
+		{serviceForwarder, m.forwarder},
+		{serviceDiscovery, m.discovery},
+		{serviceHops, m.hops},
+		{serviceCallers, m.callers},
+	}
+	for _, s := range services {
+		if err := m.kernel.Register(s.name, s.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run starts the node, serves until the context ends, and then stops without cutting requests.
+func (m *Member) Run(ctx context.Context) error {
+	m.logger.Info("start", "node", m.settings.Load().Name, "incarnation", m.incarnation)
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := m.kernel.Start(startCtx); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	m.life.Fire(lifecycle.Started)
+	if m.discovery.Table() != nil {
+		m.life.Fire(lifecycle.Joined)
+	}
+	reloads := make(chan struct{})
+	go m.watchSettings(ctx, reloads)
+	<-ctx.Done()
+	<-reloads
+	return m.stop()
+}
+
+// table returns the configuration in force.
+func (m *Member) table() *routing.Table {
+	return m.discovery.Table()
+}
+
+func (m *Member) configChanged(*routing.Table) {
+	if m.life.State() == lifecycle.Joining {
+		m.life.Fire(lifecycle.Joined)
+	}
+	m.reports.Notify()
+}
+
+// endpointsChanged follows a change of the registered endpoints.
+func (m *Member) endpointsChanged(view *registry.View, _ []registry.Change) {
+	hosts := make([]string, 0, len(view.ByHost))
+	for ip := range view.ByHost {
+		hosts = append(hosts, ip)
+	}
+	m.reports.SetHosts(hosts)
+	m.dispatcher.Update(view)
+	m.reports.Notify()
+}
+
+func (m *Member) peerAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(m.settings.Load().PeerPort))
+}
+
+const (
+	// settingsPeriod is how often the settings are read again, since they may change without a signal.
+	settingsPeriod = time.Second
+)
+
+// watchSettings takes over changed settings until the context ends.
+func (m *Member) watchSettings(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	var lastErr string
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		lastErr = m.reload(lastErr)
+	}
+}
+
+// reload reads the settings. Those that decide addresses take effect at the next start only. It returns the error text,
+// so that each error is logged once.
+func (m *Member) reload(lastErr string) string {
+	s, err := m.site.Reload()
+	if err != nil {
+		if err.Error() != lastErr {
+			m.logger.Warn("settings not reloaded", "error", err)
+		}
+		return err.Error()
+	}
+	if before := m.settings.Load(); *s != *before {
+		m.settings.Store(s)
+		m.logger.Info("settings reloaded", "service", s.Service, "before", before.Service)
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/member/settings.go
@@ -0,0 +1,36 @@
+package member
+
+import "time"
+
+// Settings are the settings of one node. They come from the platform that the node runs on.
+type Settings struct {
+	Name   string
+	IP     string
+	Zone   string
+	Region string
+
+	// CallerListen takes requests of callers on the same host, HopListen those of other nodes, and AdminListen serves
+	// readiness, status and metrics.
+	CallerListen string
+	HopListen    string
+	AdminListen  string
+	// PeerPort is the port, on every host, of the protocols between nodes.
+	PeerPort int
+
+	// BackendAddress and Service describe the endpoint beside the node.
+	BackendAddress string
+	Service        string
+
+	StoreAddress string
+	// StoreReadsPerSec is the number of calls that the store takes from all nodes together.
+	StoreReadsPerSec int
+
+	// StopTimeout is the time after which the platform kills a process that was asked to stop.
+	StopTimeout time.Duration
+
+	// The retries of a service over the whole fleet may reach RetryRatio of its requests plus RetryConstant in each
+	// RetryWindow.
+	RetryRatio    float64
+	RetryConstant float64
+	RetryWindow   time.Duration
+}
--- /dev/null
+++ b/pkg/member/status.go
@@ -0,0 +1,88 @@
+package member
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"agatepulley.example/agatepulley/core/configstate"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+)
+
+// Readiness implements admin.ReadinessSource.
+func (m *Member) Readiness() admin.Readiness {
+	if state := m.life.State(); state != lifecycle.Serving {
+		return admin.Readiness{Reason: string(state)}
+	}
+	return admin.Readiness{Ready: true}
+}
+
+// Status implements admin.StatusSource.
+func (m *Member) Status() admin.Status {
+	s := m.settings.Load()
+	summary := m.discovery.Summary()
+	status := admin.Status{
+		Node: admin.NodeStatus{
+			Host: s.Name, Zone: s.Zone, Region: s.Region, Incarnation: m.incarnation, State: string(m.life.State()),
+			StartedAt: m.started, InFlight: m.inFlight(),
+		},
+		Configuration: admin.ConfigurationStatus{
+			Version: configstate.Version{Sequence: summary.ConfigVersion}, Source: "store", ReadAgeSeconds: summary.StoreContact.Seconds(),
+		},
+	}
+	view := m.discovery.View()
+	for name, endpoints := range view.ByService {
+		status.Services = append(status.Services, m.serviceStatus(name, endpoints))
+	}
+	slices.SortFunc(status.Services, func(a, b admin.ServiceStatus) int { return strings.Compare(a.Name, b.Name) })
+	for _, e := range view.ByHost[s.IP] {
+		owned := admin.OwnedStatus{ID: e.ID, Service: e.Service, Address: e.Address, State: phase(e), Slots: e.Slots}
+		if r, ok := m.dispatcher.Report(e.ID); ok {
+			owned.Busy, owned.Queued = r.Busy, r.Queued
+		}
+		status.Owned = append(status.Owned, owned)
+	}
+	return status
+}
+
+func (m *Member) serviceStatus(name string, endpoints []*registry.Endpoint) admin.ServiceStatus {
+	status := admin.ServiceStatus{Name: name}
+	for _, e := range endpoints {
+		entry := admin.EndpointStatus{ID: e.ID, Host: registry.HostOf(e.Address), Zone: e.Zone, State: phase(e), Slots: e.Slots}
+		if known, ok := m.reports.Endpoint(e.ID); ok {
+			entry.InFlight = known.Busy + known.Queued
+			entry.Load = float64(entry.InFlight) / float64(max(e.Slots, 1))
+		}
+		status.Endpoints = append(status.Endpoints, entry)
+	}
+	return status
+}
+
+func phase(e *registry.Endpoint) string {
+	if e.Draining {
+		return "draining"
+	}
+	return "serving"
+}
+
+// observeMetrics exports the values that the services of the node count themselves.
+func (m *Member) observeMetrics() error {
+	metrics := m.telemetry.Metrics()
+	return errors.Join(
+		metrics.ObserveConfig(func() telemetry.ConfigState {
+			summary := m.discovery.Summary()
+			return telemetry.ConfigState{Sequence: summary.ConfigVersion, Age: max(summary.StoreContact, 0)}
+		}),
+		metrics.ObserveDecisionsDropped(m.decisions.Lost),
+		metrics.ObserveGauge("agatepulley_fleet_nodes", "Live nodes that this one knows, itself included.", func() float64 {
+			return float64(m.reports.Nodes())
+		}),
+		metrics.ObserveGauge("agatepulley_uptime", "Seconds since the start of the process.", func() float64 {
+			return time.Since(m.started).Seconds()
+		}),
+	)
+}
--- a/pkg/node/claimer.go
+++ b/pkg/node/claimer.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net/http"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
--- a/pkg/node/crash_test.go
+++ b/pkg/node/crash_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 )
 
 // crashingBackend is a backend server that stops for good when it runs a request whose path contains "poison".
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -6,61 +6,13 @@
 	"math"
 	"time"
 
-	"github.com/qmuntal/stateless"
-
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/news"
 )
 
-// State is a state of the node's life cycle.
-type State string
-
-// States of the life cycle.
-const (
-	StateStarting State = "starting"
-	StateJoining  State = "joining"
-	StateServing  State = "serving"
-	StateDraining State = "draining"
-	StateStopped  State = "stopped"
-)
-
-// Triggers of the life cycle.
-const (
-	triggerStarted = "started"
-	triggerJoined  = "joined"
-	triggerStop    = "stop"
-	triggerDrained = "drained"
-)
-
-func newLifeCycle() *stateless.StateMachine {
-	m := stateless.NewStateMachine(StateStarting)
-	m.Configure(StateStarting).Permit(triggerStarted, StateJoining)
-	m.Configure(StateJoining).
-		Permit(triggerJoined, StateServing).
-		Permit(triggerStop, StateDraining)
-	m.Configure(StateServing).
-		Permit(triggerStop, StateDraining).
-		Ignore(triggerJoined)
-	m.Configure(StateDraining).
-		Permit(triggerDrained, StateStopped).
-		Ignore(triggerJoined).
-		Ignore(triggerStop)
-	return m
-}
-
 // State returns the state of the node's life cycle.
-func (n *Node) State() State {
-	return n.life.MustState().(State)
-}
-
-func (n *Node) fire(trigger string) {
-	before := n.State()
-	if err := n.life.Fire(trigger); err != nil {
-		n.logger.Error("life cycle", "trigger", trigger, "state", string(before), "error", err)
-		return
-	}
-	if after := n.State(); after != before {
-		n.logger.Info("node state", "from", string(before), "to", string(after))
-	}
+func (n *Node) State() lifecycle.State {
+	return n.life.State()
 }
 
 const (
@@ -74,7 +26,7 @@
 // stop ends the node without cutting requests. As owner it refuses new work at once; as ingress it serves callers that
 // keep arriving through other hosts, and tells them to close their connections.
 func (n *Node) stop() error {
-	n.fire(triggerStop)
+	n.life.Fire(lifecycle.Stop)
 	n.owner.Leave()
 	n.announceLeaving()
 	n.ingress.Close()
@@ -82,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := n.kernel.Stop(ctx)
-	n.fire(triggerDrained)
+	n.life.Fire(lifecycle.Drained)
 	return errors.Join(drainErr, err)
 }
 
--- a/pkg/node/inquire.go
+++ b/pkg/node/inquire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/peer"
@@ -20,7 +21,7 @@
 }
 
 type attemptResult struct {
-	State owner.AttemptState `json:"state"`
+	State attempts.State `json:"state"`
 }
 
 // inquirer asks the owners of all hosts about attempts.
@@ -31,7 +32,7 @@
 }
 
 // Inquire implements ingress.Inquirer.
-func (q *inquirer) Inquire(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error) {
+func (q *inquirer) Inquire(ctx context.Context, host *config.Host, attempt string) (attempts.State, error) {
 	if host.ID == q.host {
 		return q.own.Inquire(attempt), nil
 	}
@@ -39,14 +40,14 @@
 }
 
 // Withdraw implements ingress.Inquirer.
-func (q *inquirer) Withdraw(ctx context.Context, host *config.Host, attempt string) (owner.AttemptState, error) {
+func (q *inquirer) Withdraw(ctx context.Context, host *config.Host, attempt string) (attempts.State, error) {
 	if host.ID == q.host {
 		return q.own.Withdraw(attempt), nil
 	}
 	return q.call(ctx, host, methodWithdraw, attempt)
 }
 
-func (q *inquirer) call(ctx context.Context, host *config.Host, method, attempt string) (owner.AttemptState, error) {
+func (q *inquirer) call(ctx context.Context, host *config.Host, method, attempt string) (attempts.State, error) {
 	var result attemptResult
 	if err := q.network.Call(ctx, host.PeerAddress(), method, attemptParams{Attempt: attempt}, &result); err != nil {
 		return "", fmt.Errorf("%s at %s: %w", method, host.ID, err)
@@ -60,7 +61,7 @@
 	network.Handle(methodWithdraw, attemptHandler(o.Withdraw))
 }
 
-func attemptHandler(look func(attempt string) owner.AttemptState) peer.Handler {
+func attemptHandler(look func(attempt string) attempts.State) peer.Handler {
 	return func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
 		var params attemptParams
 		if err := json.Unmarshal(raw, &params); err != nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/qmuntal/stateless"
-
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/claims"
 	"agatepulley.example/agatepulley/pkg/clock"
@@ -21,6 +19,7 @@
 	"agatepulley.example/agatepulley/pkg/httpserver"
 	"agatepulley.example/agatepulley/pkg/ingress"
 	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/news"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/peer"
@@ -57,7 +56,7 @@
 	started     time.Time
 	clock       clock.Clock
 	kernel      *kernel.Kernel
-	life        *stateless.StateMachine
+	life        *lifecycle.Machine
 
 	decisions *decision.Recorder
 	telemetry *telemetry.Telemetry
@@ -89,7 +88,7 @@
 		started:     time.Now(),
 		clock:       clock.NewBoot(),
 		kernel:      kernel.New(),
-		life:        newLifeCycle(),
+		life:        lifecycle.New(log.Logger()),
 		telemetry:   tele,
 		decisions:   decision.NewRecorder(log),
 		store:       configstore.New(log.Logger()),
@@ -245,7 +244,7 @@
 	if err := n.kernel.Start(startCtx); err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	n.fire(triggerStarted)
+	n.life.Fire(lifecycle.Started)
 	go n.suspects.run(ctx)
 	if err := n.join(ctx); err != nil {
 		return errors.Join(err, n.stop())
@@ -269,14 +268,14 @@
 		return nil
 	}
 	n.owner.Open()
-	n.fire(triggerJoined)
+	n.life.Fire(lifecycle.Joined)
 	n.publish(news.KindHost, n.settings.HostID, news.StateServing, nil)
 	return nil
 }
 
 // current returns the configuration in force once the node has joined.
 func (n *Node) current() *config.Snapshot {
-	if state := n.State(); state == StateServing || state == StateDraining {
+	if state := n.State(); state == lifecycle.Serving || state == lifecycle.Draining {
 		return n.store.Current()
 	}
 	return nil
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -18,8 +18,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/config"
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/settings"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -100,7 +101,7 @@
 		cancel()
 		Eventually(t.stopped, hangGuard).Should(BeClosed())
 	})
-	Eventually(n.State, hangGuard).Should(Equal(StateServing))
+	Eventually(n.State, hangGuard).Should(Equal(lifecycle.Serving))
 	return t
 }
 
@@ -266,8 +267,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		p.owner.stop()
 		p.ingress.stop()
-		Eventually(p.owner.State, hangGuard).Should(Equal(StateDraining))
-		Eventually(p.ingress.State, hangGuard).Should(Equal(StateDraining))
+		Eventually(p.owner.State, hangGuard).Should(Equal(lifecycle.Draining))
+		Eventually(p.ingress.State, hangGuard).Should(Equal(lifecycle.Draining))
 		close(release)
 		text, err := io.ReadAll(response.Body)
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -8,6 +8,7 @@
 	"agatepulley.example/agatepulley/pkg/admin"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/configstore"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 )
 
 // observeSummary takes what a peer says about its configuration.
@@ -24,7 +25,7 @@
 
 // Readiness implements admin.ReadinessSource.
 func (n *Node) Readiness() admin.Readiness {
-	if state := n.State(); state != StateServing {
+	if state := n.State(); state != lifecycle.Serving {
 		return admin.Readiness{Reason: string(state)}
 	}
 	return admin.Readiness{Ready: true}
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -10,9 +10,10 @@
 
 	"agatepulley.example/agatepulley/core/admission"
 	"agatepulley.example/agatepulley/core/health"
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/hop"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -308,13 +309,13 @@
 	if claim != nil && !claim.Valid() {
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStalePause, nil)
 	}
-	e.owner.registry.set(r.Attempt, AttemptRunning)
+	e.owner.registry.Set(r.Attempt, attempts.Running)
 	r.run = e.life.run()
 	token := e.beginWork(r)
 	response, failure := e.exchange(ctx, r)
 	e.endWork(token, failure)
 	if failure == nil {
-		e.owner.registry.set(r.Attempt, AttemptAnswered)
+		e.owner.registry.Set(r.Attempt, attempts.Answered)
 		e.succeeded(r)
 	}
 	return response, failure
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -7,12 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/kernel"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -98,7 +99,7 @@
 // Owner runs requests on the endpoints of its host. It is safe for concurrent use.
 type Owner struct {
 	options  Options
-	registry *registry
+	registry *attempts.Registry
 	stats    transport.Stats
 	open     atomic.Bool
 	stopping atomic.Bool
@@ -116,7 +117,7 @@
 func New(options Options) *Owner {
 	return &Owner{
 		options:   options,
-		registry:  newRegistry(registryCapacity),
+		registry:  attempts.NewRegistry(attempts.Capacity),
 		endpoints: make(map[string]*endpoint),
 		done:      make(chan struct{}),
 	}
@@ -183,8 +184,8 @@
 }
 
 // Inquire returns what became of an attempt. An attempt that is not known will never be run.
-func (o *Owner) Inquire(attempt string) AttemptState {
-	return o.registry.inquire(attempt)
+func (o *Owner) Inquire(id string) attempts.State {
+	return o.registry.Inquire(id)
 }
 
 // InFlight returns the number of requests that are queued or running.
@@ -220,29 +221,29 @@
 }
 
 // Withdraw takes an attempt out of the queue if it was not dispatched yet, and returns what became of it.
-func (o *Owner) Withdraw(attempt string) AttemptState {
-	if o.registry.inquire(attempt) != AttemptQueued {
-		return o.registry.inquire(attempt)
+func (o *Owner) Withdraw(id string) attempts.State {
+	if o.registry.Inquire(id) != attempts.Queued {
+		return o.registry.Inquire(id)
 	}
 	for _, e := range o.list() {
-		if e.cancel(attempt) {
-			return AttemptNotRun
+		if e.cancel(id) {
+			return attempts.NotRun
 		}
 	}
-	return o.registry.inquire(attempt)
+	return o.registry.Inquire(id)
 }
 
 // Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
 // frees the slot.
 func (o *Owner) Do(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
-	if state, isNew := o.registry.begin(r.Attempt); !isNew {
+	if state, isNew := o.registry.Begin(r.Attempt); !isNew {
 		return nil, o.refuseCopy(r, state)
 	}
 	response, failure := o.run(ctx, r)
 	if failure != nil && failure.Outcome == outcome.Unknown {
-		o.registry.set(r.Attempt, AttemptUnknown)
+		o.registry.Set(r.Attempt, attempts.Unknown)
 	} else if failure != nil {
-		o.registry.set(r.Attempt, AttemptNotRun)
+		o.registry.Set(r.Attempt, attempts.NotRun)
 	}
 	o.record(r, failure)
 	return response, failure
@@ -276,8 +277,8 @@
 }
 
 // refuseCopy answers a second copy of an attempt. Only if the first was certainly not run may the copy say so.
-func (o *Owner) refuseCopy(r *Request, state AttemptState) *outcome.Error {
-	if state == AttemptNotRun {
+func (o *Owner) refuseCopy(r *Request, state attempts.State) *outcome.Error {
+	if state == attempts.NotRun {
 		return o.refuse(r, stepAdmit, outcome.ReasonVoided, nil)
 	}
 	return outcome.Lose(http.StatusBadGateway, outcome.ReasonVoided, stepAdmit, r.Endpoint, nil)
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -17,10 +17,11 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -137,7 +138,7 @@
 func TestVoidedAttemptNeverRuns(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFixture(t, nil, 3)
-	g.Expect(f.owner.Inquire("a1")).To(gomega.Equal(owner.AttemptNotRun))
+	g.Expect(f.owner.Inquire("a1")).To(gomega.Equal(attempts.NotRun))
 	failure := f.do("a1", "/late", true)
 	g.Expect(failure).NotTo(gomega.BeNil())
 	g.Expect(failure.Outcome).To(gomega.Equal(outcome.NotRun))
@@ -175,21 +176,21 @@
 		g := gomega.NewWithT(t)
 		f := newFixture(t, nil, rapid.IntRange(1, 3).Draw(t, "slots"))
 		type attempt struct{ id, path string }
-		var attempts []attempt
+		var planned []attempt
 		for n := range rapid.IntRange(1, 12).Draw(t, "requests") {
 			id := string(rune('a' + n))
 			copies := rapid.IntRange(1, 2).Draw(t, "copies")
 			for range copies {
-				attempts = append(attempts, attempt{id: id, path: "/" + id})
+				planned = append(planned, attempt{id: id, path: "/" + id})
 			}
 		}
-		leaveAt := rapid.IntRange(0, 2*len(attempts)).Draw(t, "leave")
-		inquired := make(map[string]owner.AttemptState)
+		leaveAt := rapid.IntRange(0, 2*len(planned)).Draw(t, "leave")
+		inquired := make(map[string]attempts.State)
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		notRun := make(map[string]int)
 		copies := make(map[string]int)
-		for n, a := range attempts {
+		for n, a := range planned {
 			copies[a.path]++
 			if n == leaveAt {
 				f.owner.Leave()
@@ -212,7 +213,7 @@
 		for path, total := range copies {
 			g.Expect(f.count(path)).To(gomega.BeNumerically("<=", total-notRun[path]), path)
 			g.Expect(f.count(path)).To(gomega.BeNumerically("<=", 1), path)
-			if inquired[path] == owner.AttemptNotRun {
+			if inquired[path] == attempts.NotRun {
 				g.Expect(f.count(path)).To(gomega.BeZero(), path)
 			}
 		}
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -8,8 +8,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/hop"
-	"agatepulley.example/agatepulley/pkg/outcome"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -26,7 +26,7 @@
 func (o *Owner) ServeHop(ctx context.Context, c *app.RequestContext) {
 	meta, err := hop.Read(&c.Request.Header)
 	if err != nil {
-		writeFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepHop, "", err))
+		hop.WriteFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepHop, "", err))
 		return
 	}
 	o.serve(ctx, c, meta)
@@ -35,11 +35,11 @@
 func (o *Owner) serve(parent context.Context, c *app.RequestContext, meta *hop.Meta) {
 	ctx, cancel := relay.WithDeadline(parent, meta.Remaining)
 	defer cancel()
-	echo(c, meta)
+	hop.Echo(c, meta)
 	body, err := relay.ReadBody(c, hopBodyPrefixBytes, hopBodyLimitBytes, hopBodyTimeout)
 	if err != nil {
 		c.SetConnectionClose()
-		writeFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepHop, "", err))
+		hop.WriteFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepHop, "", err))
 		return
 	}
 	defer relay.WatchDisconnect(c, body)()
@@ -50,12 +50,12 @@
 		if !body.Whole() {
 			c.SetConnectionClose()
 		}
-		writeFailure(c, failure)
+		hop.WriteFailure(c, failure)
 		return
 	}
 	defer response.Close()
 	relay.CopyResponseHead(&c.Response, response.Head)
-	echo(c, meta)
+	hop.Echo(c, meta)
 	o.report(c, request)
 	c.Response.Header.Set(outcome.HeaderOutcome, string(outcome.Answered))
 	if err := relay.WriteResponse(c, response); err != nil {
@@ -71,12 +71,6 @@
 	return request
 }
 
-// echo repeats the identity of the attempt, so that the ingress can tell its own answer from any other.
-func echo(c *app.RequestContext, meta *hop.Meta) {
-	c.Response.Header.Set(outcome.HeaderRequestID, meta.RequestID)
-	c.Response.Header.Set(outcome.HeaderHopAttempt, meta.Attempt)
-}
-
 func (o *Owner) report(c *app.RequestContext, r *Request) {
 	if load, ok := o.Load(r.Endpoint); ok {
 		load.Wait = r.Waited
@@ -84,15 +78,6 @@
 	}
 }
 
-func writeFailure(c *app.RequestContext, failure *outcome.Error) {
-	c.Response.SetStatusCode(failure.Status)
-	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
-	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
-	if failure.Recorded != "" {
-		c.Response.Header.Set(outcome.HeaderRecorded, failure.Recorded)
-	}
-}
-
 func (o *Owner) recordCut(r *Request, err error) {
 	var exchange *transport.Error
 	reason := outcome.ReasonCancelled
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,7 +18,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -81,6 +81,19 @@
 	return !ownFields[lower]
 }
 
+// listedField reports whether the Connection field names another field, which then concerns only that connection.
+func listedField(connection, name string) bool {
+	if connection == "" {
+		return false
+	}
+	for _, token := range strings.Split(connection, ",") {
+		if strings.TrimSpace(token) == strings.ToLower(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // RequestHead returns a new head with the method, the target and the passed-on fields of src.
 func RequestHead(src *protocol.Request) *protocol.Request {
 	dst := &protocol.Request{}
@@ -88,8 +101,9 @@
 	dst.Header.SetMethodBytes(src.Header.Method())
 	dst.Header.SetRequestURIBytes(src.Header.RequestURI())
 	dst.Header.SetHostBytes(src.Header.Host())
+	listed := strings.ToLower(src.Header.Get("Connection"))
 	src.Header.VisitAll(func(key, value []byte) {
-		if keepField(string(key)) {
+		if keepField(string(key)) && !listedField(listed, string(key)) {
 			dst.Header.Add(string(key), string(value))
 		}
 	})
--- /dev/null
+++ b/pkg/reports/path.go
@@ -0,0 +1,76 @@
+package reports
+
+import "time"
+
+const (
+	// quietAfter is the silence from which a path is doubted, and deadAfter that from which it counts as broken. Both are
+	// several report intervals, because single datagrams get lost.
+	quietAfter = 1300 * time.Millisecond
+	deadAfter  = 2500 * time.Millisecond
+	// Probabilities that a path is broken.
+	soundPath   = 0.002
+	unknownPath = 0.2
+	quietPath   = 0.4
+	deadPath    = 0.97
+	// lossWeight is the share of the latest report in the estimate of lost datagrams.
+	lossWeight = 0.08
+	// lossCost turns the share of lost datagrams into a probability that a request fails or is late: each request takes
+	// several packets.
+	lossCost = 1.5
+	// minLoss is the estimate below which losses are ordinary.
+	minLoss = 0.04
+)
+
+// path is what is known about the way to and from one host.
+type path struct {
+	heardAt  time.Duration
+	ever     bool
+	sequence uint64
+	loss     float64
+	// ackAt is the time at which the other node last heard this one, as far as its reports tell.
+	ackAt   time.Duration
+	ackEver bool
+}
+
+// heard records a report.
+func (p *path) heard(now time.Duration, sequence uint64, restarted bool, heardMS int) {
+	if restarted || !p.ever || sequence <= p.sequence {
+		p.loss = 0
+	} else {
+		for missed := min(sequence-p.sequence-1, 10); missed > 0; missed-- {
+			p.loss += lossWeight * (1 - p.loss)
+		}
+		p.loss -= lossWeight * p.loss
+	}
+	p.sequence = sequence
+	p.heardAt, p.ever = now, true
+	if heardMS >= 0 {
+		p.ackAt, p.ackEver = max(p.ackAt, now-time.Duration(heardMS)*time.Millisecond), true
+	}
+}
+
+// broken returns the probability that a request over the path fails.
+func (p *path) broken(now time.Duration) float64 {
+	if !p.ever {
+		return unknownPath
+	}
+	b := silence(now - p.heardAt)
+	if p.ackEver {
+		b = max(b, silence(now-p.ackAt))
+	}
+	if p.loss > minLoss {
+		b = max(b, min(lossCost*p.loss, quietPath))
+	}
+	return b
+}
+
+func silence(age time.Duration) float64 {
+	switch {
+	case age < quietAfter:
+		return soundPath
+	case age < deadAfter:
+		return quietPath
+	default:
+		return deadPath
+	}
+}
--- /dev/null
+++ b/pkg/reports/service.go
@@ -0,0 +1,364 @@
+package reports
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/membership"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/kernel"
+)
+
+const (
+	// interval is the time between reports to a host when nothing changes. otherZoneInterval is longer because bytes
+	// between zones are charged for.
+	interval          = 300 * time.Millisecond
+	otherZoneInterval = 450 * time.Millisecond
+	// minGap is the shortest time between two rounds of urgent reports.
+	minGap = 15 * time.Millisecond
+	// tick is how often it is checked which reports are due.
+	tick = 50 * time.Millisecond
+	// forgetAfter is the silence after which a host that no endpoint is registered for is forgotten.
+	forgetAfter = 10 * time.Second
+	// liveFor is the silence up to which a host counts as a live member of the fleet.
+	liveFor = 2500 * time.Millisecond
+	// maxDatagram bounds a report. A node has one endpoint, two while it is replaced.
+	maxDatagram = 8 << 10
+	// forever is an age that stands for "never".
+	forever = time.Hour
+)
+
+// Options are the parts that the service works with.
+type Options struct {
+	IP          string
+	Port        int
+	Zone        string
+	Incarnation uint64
+	Clock       clock.Clock
+	Logger      *slog.Logger
+	// Fill adds what the node knows to a report.
+	Fill func(*Report)
+	// Observe is called with each report and the peer address of its sender.
+	Observe func(peerAddress string, r *Report)
+}
+
+type host struct {
+	report   Report
+	path     path
+	local    faultfilter.Filter
+	listed   bool
+	address  netip.AddrPort
+	sequence uint64
+	sentAt   time.Duration
+	urgent   bool
+}
+
+// Service exchanges reports with the nodes of the fleet. It is safe for concurrent use.
+type Service struct {
+	options Options
+	conn    *net.UDPConn
+	wake    chan struct{}
+
+	mu        sync.Mutex
+	hosts     map[string]*host
+	endpoints map[string]*Known
+	lastRound time.Duration
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// New returns a service that knows no other node.
+func New(options Options) *Service {
+	return &Service{
+		options:   options,
+		wake:      make(chan struct{}, 1),
+		hosts:     make(map[string]*host),
+		endpoints: make(map[string]*Known),
+	}
+}
+
+// Start opens the socket and begins to send.
+func (s *Service) Start(context.Context) error {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(s.options.IP), Port: s.options.Port})
+	if err != nil {
+		return fmt.Errorf("listen for reports: %w", err)
+	}
+	s.conn = conn
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.tasks.Go(s.receive)
+	s.tasks.Go(func() { s.send(ctx) })
+	return nil
+}
+
+// Stop closes the socket.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	_ = s.conn.Close()
+	return kernel.AwaitTasks(ctx, &s.tasks, "report tasks")
+}
+
+// SetHosts replaces the hosts for which endpoints are registered.
+func (s *Service) SetHosts(ips []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hosts {
+		h.listed = false
+	}
+	for _, ip := range ips {
+		if h := s.host(ip); h != nil {
+			h.listed = true
+		}
+	}
+}
+
+// host returns what is known of a host, creating it if needed. It returns nil for this host and for bad addresses.
+func (s *Service) host(ip string) *host {
+	if ip == s.options.IP {
+		return nil
+	}
+	if h := s.hosts[ip]; h != nil {
+		return h
+	}
+	address, err := netip.ParseAddr(ip)
+	if err != nil {
+		return nil
+	}
+	h := &host{address: netip.AddrPortFrom(address, uint16(s.options.Port))}
+	s.hosts[ip] = h
+	return h
+}
+
+// Notify sends reports to all hosts soon.
+func (s *Service) Notify() {
+	s.mu.Lock()
+	for _, h := range s.hosts {
+		h.urgent = true
+	}
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ObserveEndpoint records a report on an endpoint that arrived with a response.
+func (s *Service) ObserveEndpoint(e Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints[e.ID] = &Known{Endpoint: e, At: s.options.Clock.Now()}
+}
+
+// Endpoint returns the latest report on an endpoint.
+func (s *Service) Endpoint(id string) (Known, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.endpoints[id]
+	if k == nil {
+		return Known{}, false
+	}
+	return *k, true
+}
+
+// CountSent records that a request was sent to an endpoint.
+func (s *Service) CountSent(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.endpoints[id]; k != nil {
+		k.Sent++
+	}
+}
+
+// ObservePath records how an exchange with a host went on the way, whatever the endpoint did.
+func (s *Service) ObservePath(ip string, outcome faultfilter.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.host(ip); h != nil {
+		h.local.Observe(s.options.Clock.Now(), outcome)
+	}
+}
+
+// Path returns the probability that a request to a host gets lost on the way, and whether the host is leaving.
+func (s *Service) Path(ip string) (broken float64, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ip == s.options.IP {
+		return 0, false
+	}
+	h := s.hosts[ip]
+	if h == nil {
+		return unknownPath, false
+	}
+	now := s.options.Clock.Now()
+	broken = h.path.broken(now)
+	if local := h.local.Probability(now); local > startingDoubt {
+		broken = 1 - (1-broken)*(1-local)
+	}
+	return broken, h.report.Leaving && now-h.path.heardAt < liveFor
+}
+
+// startingDoubt is the local probability from which failed exchanges on a path count beside the reports.
+const startingDoubt = 0.3
+
+// Nodes returns the number of live nodes, this one included.
+func (s *Service) Nodes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 + len(s.liveIn(""))
+}
+
+// Rank returns the position of this node among the live nodes of its zone.
+func (s *Service) Rank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := append(s.liveIn(s.options.Zone), s.options.IP)
+	for n, id := range membership.Rank(s.options.Zone, ids) {
+		if id == s.options.IP {
+			return n
+		}
+	}
+	return 0
+}
+
+// liveIn returns the live hosts of a zone, or of all zones. The caller holds the lock.
+func (s *Service) liveIn(zone string) []string {
+	now := s.options.Clock.Now()
+	ids := make([]string, 0, len(s.hosts))
+	for ip, h := range s.hosts {
+		live := h.path.ever && now-h.path.heardAt < liveFor && !h.report.Leaving
+		if live && (zone == "" || h.report.Zone == zone) {
+			ids = append(ids, ip)
+		}
+	}
+	return ids
+}
+
+// StoreContact returns the time since another node was last answered by the store.
+func (s *Service) StoreContact() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	age := forever
+	for _, h := range s.hosts {
+		if h.path.ever && h.report.StoreMS >= 0 {
+			age = min(age, time.Duration(h.report.StoreMS)*time.Millisecond+now-h.path.heardAt)
+		}
+	}
+	return age
+}
+
+func (s *Service) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		var r Report
+		if err := json.Unmarshal(buffer[:n], &r); err != nil {
+			s.options.Logger.Warn("unreadable report", "from", from.String(), "error", err)
+			continue
+		}
+		s.take(from, &r)
+	}
+}
+
+func (s *Service) take(from netip.AddrPort, r *Report) {
+	ip := from.Addr().Unmap().String()
+	s.mu.Lock()
+	now := s.options.Clock.Now()
+	h := s.host(ip)
+	if h == nil || r.Incarnation < h.report.Incarnation {
+		s.mu.Unlock()
+		return
+	}
+	restarted := r.Incarnation > h.report.Incarnation
+	if !restarted && r.Sequence <= h.path.sequence {
+		s.mu.Unlock()
+		return
+	}
+	if restarted {
+		h.local.Reset()
+	}
+	h.path.heard(now, r.Sequence, restarted, r.HeardMS)
+	h.report = *r
+	for _, e := range r.Endpoints {
+		s.endpoints[e.ID] = &Known{Endpoint: e, At: now}
+	}
+	s.mu.Unlock()
+	s.options.Observe(net.JoinHostPort(ip, strconv.Itoa(s.options.Port)), r)
+}
+
+func (s *Service) send(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			time.Sleep(minGap)
+		case <-ticker.C:
+		}
+		s.round()
+	}
+}
+
+// round sends the reports that are due.
+func (s *Service) round() {
+	var shared Report
+	s.options.Fill(&shared)
+	shared.Host, shared.Zone, shared.Incarnation = s.options.IP, s.options.Zone, s.options.Incarnation
+	type datagram struct {
+		to   netip.AddrPort
+		body []byte
+	}
+	var due []datagram
+	s.mu.Lock()
+	now := s.options.Clock.Now()
+	for ip, h := range s.hosts {
+		if !h.listed && now-h.path.heardAt > forgetAfter {
+			delete(s.hosts, ip)
+			continue
+		}
+		if !s.due(now, h) {
+			continue
+		}
+		h.sentAt, h.urgent = now, false
+		h.sequence++
+		r := shared
+		r.Sequence = h.sequence
+		r.HeardMS = -1
+		if h.path.ever {
+			r.HeardMS = int((now - h.path.heardAt).Milliseconds())
+		}
+		if body, err := json.Marshal(r); err == nil {
+			due = append(due, datagram{h.address, body})
+		}
+	}
+	s.mu.Unlock()
+	for _, d := range due {
+		// A datagram that cannot be sent is like one that got lost: the receiver notices the silence.
+		_, _ = s.conn.WriteToUDPAddrPort(d.body, d.to)
+	}
+}
+
+func (s *Service) due(now time.Duration, h *host) bool {
+	if h.urgent || h.sentAt == 0 {
+		return true
+	}
+	every := interval
+	if h.path.ever && h.report.Zone != s.options.Zone {
+		every = otherZoneInterval
+	}
+	return now-h.sentAt >= every
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -32,6 +32,9 @@
 	DrainTimeout time.Duration `long:"drain-timeout" env:"AGATEPULLEY_DRAIN_TIMEOUT" value-name:"DURATION" default:"15m" description:"longest wait for requests in flight at a planned stop"`
 	DrainNotice  time.Duration `long:"drain-notice" env:"AGATEPULLEY_DRAIN_NOTICE" value-name:"DURATION" default:"3s" description:"time for which callers that keep arriving are still served at a planned stop"`
 
+	// SiteSettings replaces the addresses above by those of a platform on which endpoints register themselves.
+	SiteSettings string `long:"site-settings" env:"AGATEPULLEY_SETTINGS" value-name:"FILE" description:"settings file of the platform; the node then joins the fleet of its registered endpoints"`
+
 	LogFormat string `long:"log-format" env:"AGATEPULLEY_LOG_FORMAT" choice:"json" choice:"text" default:"json" description:"format of the log"`
 	LogLevel  string `long:"log-level" env:"AGATEPULLEY_LOG_LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"lowest level that is logged"`
 
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 )
 
 // Directions of peer traffic.
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/onsi/gomega"
 
-	"agatepulley.example/agatepulley/pkg/outcome"
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
 
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -20,7 +20,12 @@
 // ErrTruncated is returned by a body that ended before its announced end.
 var ErrTruncated = errors.New("response body is truncated")
 
+// ErrStray is returned when only responses to other requests arrived.
+var ErrStray = errors.New("the responses belong to other requests")
+
 const (
+	// maxStrayResponses bounds the responses to other requests that are skipped on one connection.
+	maxStrayResponses = 3
 	// maxInterimResponses bounds the 1xx responses accepted before the final one.
 	maxInterimResponses = 8
 	// maxChunkRead stays below the read buffer, since the chunk decoder peeks what it reads.
@@ -36,6 +41,7 @@
 	pool   *Pool
 	conn   *conn
 	isHead bool
+	accept func(head *protocol.Response) bool
 	sent   atomic.Bool
 	stop   func() bool
 
@@ -45,7 +51,7 @@
 }
 
 func newPending(ctx context.Context, pool *Pool, c *conn, request *Request) *Pending {
-	p := &Pending{ctx: ctx, pool: pool, conn: c, isHead: request.Head.Header.IsHead()}
+	p := &Pending{ctx: ctx, pool: pool, conn: c, isHead: request.Head.Header.IsHead(), accept: request.Accept}
 	p.stop = context.AfterFunc(ctx, c.close)
 	return p
 }
@@ -68,6 +74,12 @@
 	p.conn.close()
 }
 
+func (p *Pending) aborted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cause != nil
+}
+
 // markAnswered records that the head has arrived. It returns false if the exchange was aborted before.
 func (p *Pending) markAnswered() bool {
 	p.mu.Lock()
@@ -81,15 +93,28 @@
 	return p.conn.received.Load()
 }
 
-// Await reads the head of the response.
+// Await reads the head of the response. Responses to earlier requests, which Request.Accept tells apart, are skipped.
 func (p *Pending) Await() (*Response, error) {
-	head := &protocol.Response{}
-	err := p.readHead(head)
-	if err != nil || !p.markAnswered() {
-		p.abandon()
-		return nil, p.fail(StepRead, err)
+	for range maxStrayResponses {
+		head := &protocol.Response{}
+		if err := p.readHead(head); err != nil {
+			p.abandon()
+			return nil, p.fail(StepRead, err)
+		}
+		if p.accept == nil || p.accept(head) {
+			if !p.markAnswered() {
+				p.abandon()
+				return nil, p.fail(StepRead, nil)
+			}
+			return p.newResponse(head), nil
+		}
+		if _, err := io.Copy(io.Discard, p.newResponse(head).Body); err != nil {
+			p.abandon()
+			return nil, p.fail(StepRead, err)
+		}
 	}
-	return p.newResponse(head), nil
+	p.abandon()
+	return nil, p.fail(StepRead, ErrStray)
 }
 
 func (p *Pending) readHead(head *protocol.Response) error {
@@ -161,7 +186,14 @@
 	closed   bool
 	// untilClose is set if the end of the connection is the end of the body.
 	untilClose bool
-	onClose    []func()
+	// broken is set if the sender ended the body early.
+	broken  bool
+	onClose []func()
+}
+
+// Broken reports whether the sender ended the body early. It is false if the exchange was aborted from this side.
+func (r *Response) Broken() bool {
+	return r.broken
 }
 
 // OnClose registers a function that runs when the response is closed.
@@ -257,6 +289,7 @@
 	if err == nil {
 		return nil
 	}
+	b.response.broken = b.response.pending.ctx.Err() == nil && !b.response.pending.aborted()
 	return b.response.pending.fail(StepBody, err)
 }
 
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -63,6 +63,8 @@
 	Head   *protocol.Request
 	Body   io.Reader
 	Length int64
+	// Accept reports whether a response belongs to the request. Nil accepts any.
+	Accept func(head *protocol.Response) bool
 }
 
 // Stats counts events of a pool.
