Share the retry budget by reports, name the incarnation in inquiries, handle SIGHUP

SIGHUP ended the process (LOST, exit code 129). Requests that may be repeated probed endpoints that were known to fail.

Ruled out: the request id or address of a call does not tell it from a caller's request by any documented rule.

--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -66,7 +66,11 @@
 		return err
 	}
 	telemetry.RedirectHertzLog(log.Logger())
-	n, err := newNode(s, log)
+	// Without a handler the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	n, err := newNode(s, log, reload)
 	if err != nil {
 		return err
 	}
@@ -82,7 +86,7 @@
 	Run(ctx context.Context) error
 }
 
-func newNode(s *settings.Settings, log *telemetry.Log) (runner, error) {
+func newNode(s *settings.Settings, log *telemetry.Log, reload <-chan os.Signal) (runner, error) {
 	if s.SiteSettings == "" {
 		return node.New(s, log)
 	}
@@ -92,7 +96,7 @@
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
 	return member.New(site, member.Site{
-		Store: platform.NewStore(site.StoreAddress), Headers: platform.Headers(), Reload: load,
+		Store: platform.NewStore(site.StoreAddress), Headers: platform.Headers(), Load: load, Reload: reload,
 	}, log)
 }
 
--- a/core/faultfilter/faultfilter.go
+++ b/core/faultfilter/faultfilter.go
@@ -27,8 +27,8 @@
 
 // Rates of the state changes per second, and limits of the probability. The rates describe faults that last seconds.
 const (
-	onsetPerSecond    = 0.10
-	recoveryPerSecond = 0.30
+	onsetPerSecond    = 0.07
+	recoveryPerSecond = 0.22
 	stationary        = onsetPerSecond / (onsetPerSecond + recoveryPerSecond)
 	// The probability stays away from 0 and 1 so that contrary evidence still moves it.
 	minProbability = 0.002
@@ -41,10 +41,10 @@
 type likelihood struct{ failing, sound float64 }
 
 var likelihoods = map[Outcome]likelihood{
-	Success:     {failing: 0.25, sound: 0.975},
+	Success:     {failing: 0.22, sound: 0.975},
 	LateFailure: {failing: 0.30, sound: 0.06},
-	Stalled:     {failing: 0.30, sound: 0.04},
-	Failure:     {failing: 0.70, sound: 0.012},
+	Stalled:     {failing: 0.45, sound: 0.04},
+	Failure:     {failing: 0.75, sound: 0.013},
 }
 
 // Filter is the estimate for one endpoint. The zero value knows nothing. It is not safe for concurrent use.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -69,6 +69,9 @@
 	minFree = 0.2
 	// exploreAfter is the time without outcomes after which an endpoint is worth a probe.
 	exploreAfter = 350 * time.Millisecond
+	// exploreMaxFail is the probability of failing from which an endpoint is left alone until time has made its recovery
+	// likely enough for a probe.
+	exploreMaxFail = 0.75
 	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
 	exploreMaxPath = 0.3
 	// defaultTargetLatency is used for routes without one.
@@ -121,7 +124,10 @@
 	chosen, seen := -1, 0
 	for n := range candidates {
 		c := &candidates[n]
-		if c.Tried || c.SinceOutcome < exploreAfter || c.PathProbability > exploreMaxPath || c.free() < 1 {
+		if c.Tried || c.Sent > 0 || c.SinceOutcome < exploreAfter || c.free() < 1 {
+			continue
+		}
+		if c.FailProbability > exploreMaxFail || c.PathProbability > exploreMaxPath {
 			continue
 		}
 		if r.Large && c.OtherZone {
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -1,8 +1,9 @@
 // Package retrybudget limits how often the nodes of a fleet send requests of a service again, without a shared counter.
 //
 // Over the whole fleet, the repeats of a service in any window may reach a share of its requests plus a constant. Each
-// node spends at most that share of the requests that it received itself, plus its part of the constant by the size of
-// the fleet as it knows it. The sum over all nodes then stays within the fleet's limit.
+// node counts its own requests and repeats and hears the counts of the others. A repeat is allowed while the sum of all
+// that are known stays below the limit by a margin that covers what the others do until they are heard again. Nodes
+// that are not heard may spend on their own, so the constant is divided by the share of the fleet that is known.
 package retrybudget
 
 import "time"
@@ -11,64 +12,75 @@
 type Settings struct {
 	// Ratio is the number of repeats per request.
 	Ratio float64
-	// Constant is the number of repeats allowed beside the ratio, over the whole fleet.
+	// Constant is the number of repeats allowed beside the ratio.
 	Constant float64
 	Window   time.Duration
 }
 
 const (
-	// spendShare is the part of the limit that is used. The rest covers nodes that know a smaller fleet and requests
-	// that reach their endpoint in a later window than the one they were counted in.
-	spendShare = 0.7
+	// spendShare is the part of the limit that is used. The rest covers repeats of other nodes that are not known yet.
+	spendShare = 0.75
 	// buckets divide a window, so that old entries leave it in small steps.
 	buckets = 20
 )
 
+// Usage is what happened within a window.
+type Usage struct {
+	Requests float64
+	Repeats  float64
+}
+
+// Add returns the sum of two usages.
+func (u Usage) Add(o Usage) Usage {
+	return Usage{Requests: u.Requests + o.Requests, Repeats: u.Repeats + o.Repeats}
+}
+
+// Left returns how many repeats the known part of the fleet may still make. The share is that of the nodes that are
+// known, 0 to 1.
+func (s Settings) Left(total Usage, share float64) float64 {
+	return spendShare*(s.Ratio*total.Requests+s.Constant*share) - total.Repeats
+}
+
 type bucket struct {
-	slot     int64
-	requests int
-	repeats  int
+	slot int64
+	Usage
 }
 
-// Budget is the part of one node for one service. It is not safe for concurrent use.
+// Budget counts the requests and repeats of one node for one service. It is not safe for concurrent use.
 type Budget struct {
-	settings Settings
-	ring     [buckets]bucket
+	window time.Duration
+	ring   [buckets]bucket
 }
 
 // New returns an empty budget.
 func New(s Settings) *Budget {
-	return &Budget{settings: s}
+	return &Budget{window: s.Window}
 }
 
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Duration) {
-	b.bucket(now).requests++
-}
-
-// Charge counts a repeat that was made whatever the budget says.
-func (b *Budget) Charge(now time.Duration) {
-	b.bucket(now).repeats++
+	b.bucket(now).Requests++
 }
 
-// Left returns how many repeats the node may still make, in a fleet of the given number of nodes.
-func (b *Budget) Left(now time.Duration, nodes int) float64 {
-	requests, repeats := b.sum(now)
-	limit := b.settings.Ratio*float64(requests) + b.settings.Constant/float64(max(nodes, 1))
-	return spendShare*limit - float64(repeats)
+// Repeat counts repeats. A part of one stands for a call that a repeated request may make.
+func (b *Budget) Repeat(now time.Duration, n float64) {
+	b.bucket(now).Repeats += n
 }
 
-// Take counts a repeat if the budget allows one, and reports whether it did.
-func (b *Budget) Take(now time.Duration, nodes int) bool {
-	if b.Left(now, nodes) < 1 {
-		return false
+// Usage returns the sums over the latest window.
+func (b *Budget) Usage(now time.Duration) Usage {
+	oldest := b.slot(now) - buckets
+	var sum Usage
+	for _, entry := range b.ring {
+		if entry.slot > oldest {
+			sum = sum.Add(entry.Usage)
+		}
 	}
-	b.Charge(now)
-	return true
+	return sum
 }
 
 func (b *Budget) slot(now time.Duration) int64 {
-	return int64(now / (b.settings.Window / buckets))
+	return int64(now / (b.window / buckets))
 }
 
 func (b *Budget) bucket(now time.Duration) *bucket {
@@ -79,14 +91,3 @@
 	}
 	return entry
 }
-
-func (b *Budget) sum(now time.Duration) (requests, repeats int) {
-	oldest := b.slot(now) - buckets
-	for _, entry := range b.ring {
-		if entry.slot > oldest {
-			requests += entry.requests
-			repeats += entry.repeats
-		}
-	}
-	return requests, repeats
-}
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -18,6 +18,7 @@
 var (
 	errExpired   = errors.New("its deadline could no longer be met")
 	errWithdrawn = errors.New("withdrawn by its ingress")
+	errSuspect   = errors.New("the endpoint became suspect")
 )
 
 const (
@@ -32,19 +33,25 @@
 	defaultService = 150 * time.Millisecond
 	// serviceWeight is the weight of the latest request in the mean.
 	serviceWeight = 0.15
-	// A request counts as stalled once it is stallFactor times as old as the mean, at least minStall.
-	stallFactor = 3.5
-	minStall    = 250 * time.Millisecond
+	// A request counts as stalled once it is stallFactor times as old as the mean of its route, at least minStall.
+	stallFactor = 2.3
+	minStall    = 150 * time.Millisecond
 	// An error answer within promptShare of the mean time did no real work.
 	promptShare = 0.35
 	// doubt is the probability of failing from which a change is told to the other nodes at once.
 	doubt = 0.15
+	// suspectFrom is the probability of failing from which waiting requests are sent back, so that they can be placed
+	// elsewhere.
+	suspectFrom = 0.6
+	// maxRoutes bounds the routes whose service times are kept apart.
+	maxRoutes = 256
 	// elsewhereWait is the expected wait from which a request that can be served elsewhere is refused as busy.
 	elsewhereWait = time.Millisecond
 )
 
 type running struct {
 	begin   time.Duration
+	limit   time.Duration
 	stalled bool
 }
 
@@ -61,6 +68,7 @@
 	running  map[string]*running
 	filter   faultfilter.Filter
 	service  time.Duration
+	routes   map[string]time.Duration
 	outcome  time.Duration
 	observed bool
 	told     float64
@@ -72,6 +80,7 @@
 		id:         id,
 		waiting:    make(map[string]chan error),
 		running:    make(map[string]*running),
+		routes:     make(map[string]time.Duration),
 		service:    defaultService,
 	}
 	e.resize(unknownSlots)
@@ -169,6 +178,8 @@
 		switch {
 		case errors.Is(err, errWithdrawn):
 			return refuse(r, stepAdmit, outcome.ReasonVoided, err)
+		case errors.Is(err, errSuspect):
+			return refuse(r, stepAdmit, outcome.ReasonSuspect, err)
 		case err != nil:
 			return refuse(r, stepAdmit, outcome.ReasonDeadline, err)
 		}
@@ -266,32 +277,54 @@
 }
 
 // begin records that a request was sent.
-func (e *endpoint) begin(attempt string) {
+func (e *endpoint) begin(r *Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running[attempt] = &running{begin: e.dispatcher.now()}
+	usual := e.usual(r.Route)
+	e.running[r.Attempt] = &running{
+		begin: e.dispatcher.now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall),
+	}
+}
+
+// usual returns the mean time for a request of a route. The caller holds the lock.
+func (e *endpoint) usual(route string) time.Duration {
+	if known, ok := e.routes[route]; ok {
+		return known
+	}
+	return max(e.service, defaultService)
 }
 
-// learn takes the outcome of a request as evidence. The time is that from the first byte sent to the head of the
+// learn takes the outcome of a request as evidence. The time is that from the first byte sent to the end of the
 // response.
-func (e *endpoint) learn(o faultfilter.Outcome, took time.Duration) {
+func (e *endpoint) learn(r *Request, o faultfilter.Outcome, took time.Duration) {
 	e.mu.Lock()
 	now := e.dispatcher.now()
-	if o == faultfilter.Failure && took > time.Duration(promptShare*float64(e.service)) {
+	if o == faultfilter.Failure && took > time.Duration(promptShare*float64(e.usual(r.Route))) {
 		o = faultfilter.LateFailure
 	}
 	e.filter.Observe(now, o)
 	e.outcome, e.observed = now, true
 	if o == faultfilter.Success {
-		e.service += time.Duration(serviceWeight * float64(took-e.service))
+		e.learnTime(r.Route, took)
 	}
-	changed := e.shifted(now)
+	changed := e.shifted(now) || o != faultfilter.Success
 	e.mu.Unlock()
 	if changed {
 		e.dispatcher.options.Changed()
 	}
 }
 
+func (e *endpoint) learnTime(route string, took time.Duration) {
+	e.service += time.Duration(serviceWeight * float64(took-e.service))
+	known, ok := e.routes[route]
+	switch {
+	case ok:
+		e.routes[route] = known + time.Duration(serviceWeight*float64(took-known))
+	case len(e.routes) < maxRoutes:
+		e.routes[route] = max(took, defaultService)
+	}
+}
+
 // shifted reports whether the other nodes should learn of the endpoint's condition at once: it has crossed the line
 // between good and doubtful. The caller holds the lock.
 func (e *endpoint) shifted(now time.Duration) bool {
@@ -303,19 +336,31 @@
 	return crossed
 }
 
+// sendBack refuses the requests that wait. The caller holds the lock.
+func (e *endpoint) sendBack() {
+	for attempt := range e.waiting {
+		if e.queue.Cancel(attempt) {
+			e.tell(attempt, errSuspect)
+		}
+	}
+}
+
 // turn looks for stalled requests and lets waiting ones run. It reports whether the other nodes should be told.
 func (e *endpoint) turn() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.dispatcher.now()
-	limit := max(time.Duration(stallFactor*float64(e.service)), minStall)
+	stalled := false
 	for _, r := range e.running {
-		if !r.stalled && now-r.begin > limit {
-			r.stalled = true
+		if !r.stalled && now-r.begin > r.limit {
+			r.stalled, stalled = true, true
 			e.filter.Observe(now, faultfilter.Stalled)
 			e.outcome, e.observed = now, true
 		}
 	}
+	if e.filter.Probability(now) >= suspectFrom {
+		e.sendBack()
+	}
 	e.advance(now)
-	return e.shifted(now)
+	return e.shifted(now) || stalled
 }
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -28,7 +28,7 @@
 	}
 	e.address(ctx, r)
 	e.dispatcher.attempts.Set(r.Attempt, attempts.Running)
-	e.begin(r.Attempt)
+	e.begin(r)
 	begin := e.dispatcher.now()
 	response, err := e.exchange(ctx, r)
 	took := e.dispatcher.now() - begin
@@ -86,12 +86,12 @@
 	case !signed || response.Head.Header.Get(names.RequestID) == "":
 		response.Abort(errors.New("the answer is not signed"))
 		response.Close()
-		e.learn(faultfilter.Failure, 0)
+		e.learn(r, faultfilter.Failure, 0)
 		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonUnsigned, stepDispatch, e.id, nil)
 	}
 	e.dispatcher.attempts.Set(r.Attempt, attempts.Answered)
 	if status >= http.StatusInternalServerError {
-		e.learn(faultfilter.Failure, took)
+		e.learn(r, faultfilter.Failure, took)
 	}
 	response.OnClose(func() { e.answered(r, response, status, begin) })
 	return response, nil
@@ -104,9 +104,9 @@
 	case status >= http.StatusInternalServerError:
 		served = notLearned
 	case response.Complete():
-		e.learn(faultfilter.Success, served)
+		e.learn(r, faultfilter.Success, served)
 	case response.Broken():
-		e.learn(faultfilter.Failure, 0)
+		e.learn(r, faultfilter.Failure, 0)
 		served = notLearned
 	default:
 		served = notLearned
@@ -122,7 +122,7 @@
 	if status == http.StatusMisdirectedRequest {
 		reason = outcome.ReasonMisdirected
 	}
-	e.learn(faultfilter.Failure, took)
+	e.learn(r, faultfilter.Failure, took)
 	return refuse(r, stepDispatch, reason, nil)
 }
 
@@ -132,19 +132,19 @@
 	sent := !errors.As(err, &exchange) || exchange.Sent
 	switch {
 	case !sent && ctx.Err() == nil:
-		e.learn(faultfilter.Failure, 0)
+		e.learn(r, faultfilter.Failure, 0)
 		return refuse(r, stepDispatch, outcome.ReasonDown, err)
 	case !sent:
 		return refuse(r, stepDispatch, outcome.ReasonDeadline, err)
 	case errors.Is(err, transport.ErrBodySource):
 		return outcome.Lose(http.StatusBadRequest, outcome.ReasonBodyCut, stepDispatch, e.id, err)
 	case transport.IsTimeout(err):
-		e.learn(faultfilter.Failure, took)
+		e.learn(r, faultfilter.Failure, took)
 		return outcome.Lose(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepDispatch, e.id, err)
 	case ctx.Err() != nil:
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonCancelled, stepDispatch, e.id, err)
 	default:
-		e.learn(faultfilter.Failure, 0)
+		e.learn(r, faultfilter.Failure, 0)
 		return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
 	}
 }
--- /dev/null
+++ b/pkg/forward/budget.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"time"
+
+	"agatepulley.example/agatepulley/core/retrybudget"
+)
+
+// callsPerRepeat is the number of calls to other services that a repeated run is assumed to make. They count as repeats
+// there, and the endpoints do not say which calls belong to which run.
+const callsPerRepeat = 1.5
+
+// countRequest counts a request of a caller.
+func (f *Forwarder) countRequest(service string) {
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Request(now)
+}
+
+// takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did.
+func (f *Forwarder) takeRepeat(service string) bool {
+	if f.repeatsLeft(service) < 1 {
+		return false
+	}
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Repeat(now, 1)
+	f.countCalls(now, service)
+	return true
+}
+
+// countCalls spreads the calls of a repeated run over the other services like their requests. The caller holds the
+// lock.
+func (f *Forwarder) countCalls(now time.Duration, service string) {
+	total := 0.0
+	for name, b := range f.budgets {
+		if name != service {
+			total += b.Usage(now).Requests
+		}
+	}
+	if total == 0 {
+		return
+	}
+	for name, b := range f.budgets {
+		if name != service {
+			b.Repeat(now, callsPerRepeat*b.Usage(now).Requests/total)
+		}
+	}
+}
+
+// repeatsLeft returns how many repeats of a service the fleet may still make.
+func (f *Forwarder) repeatsLeft(service string) float64 {
+	others, share := f.options.Conditions.Repeats(service)
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.options.Budget.Left(f.budget(service).Usage(now).Add(others), share)
+}
+
+// Usage returns what this node counted for each service in the latest window.
+func (f *Forwarder) Usage() map[string]retrybudget.Usage {
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usage := make(map[string]retrybudget.Usage, len(f.budgets))
+	for name, b := range f.budgets {
+		if u := b.Usage(now); u != (retrybudget.Usage{}) {
+			usage[name] = u
+		}
+	}
+	return usage
+}
+
+// budget returns the counters of a service. The caller holds the lock.
+func (f *Forwarder) budget(service string) *retrybudget.Budget {
+	b := f.budgets[service]
+	if b == nil {
+		b = retrybudget.New(f.options.Budget)
+		f.budgets[service] = b
+	}
+	return b
+}
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -6,7 +6,6 @@
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/core/registry"
-	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/reports"
@@ -24,8 +23,9 @@
 	loadLifetime = 1500 * time.Millisecond
 	// never is the age of an outcome at an endpoint that has not reported any.
 	never = time.Minute
-	// exploreReserve is the number of repeats that must be left in the budget for a request to probe an endpoint.
-	exploreReserve = 1.5
+	// exploreReserve is the number of repeats that must be left in the fleet's budget for a request to probe an endpoint.
+	// It is kept for requests whose endpoint fails unexpectedly.
+	exploreReserve = 12
 	// exploreTime is the time that must be left, in units of the usual service time.
 	exploreTime = 4
 )
@@ -34,8 +34,10 @@
 type pick struct {
 	endpoint *registry.Endpoint
 	host     string
-	number   int
-	reason   placement.Reason
+	// incarnation is that of the process on the host, as known before the attempt is sent.
+	incarnation uint64
+	number      int
+	reason      placement.Reason
 	// service is the time that the endpoint is expected to need.
 	service time.Duration
 	// elsewhere is set if the dispatcher shall refuse the request as busy rather than let it wait.
@@ -72,6 +74,7 @@
 		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason, service: candidates[n].ServiceTime,
 		elsewhere: fl.bounces < maxBounces && len(usable) > len(fl.tried)+1,
 	}
+	p.incarnation = f.options.Conditions.Incarnation(p.host)
 	f.recordChoice(fl, p, r, &candidates[n], len(candidates), view.Revision)
 	return p
 }
@@ -134,9 +137,7 @@
 	if time.Until(fl.request.deadline) < exploreTime*defaultService {
 		return false
 	}
-	left := 0.0
-	f.withBudget(fl.request.service, func(b *retrybudget.Budget, now time.Duration, nodes int) { left = b.Left(now, nodes) })
-	return left >= exploreReserve
+	return f.repeatsLeft(fl.request.service) >= exploreReserve
 }
 
 func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates int, revision uint64) {
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/outcome"
-	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -247,8 +246,7 @@
 
 // pay takes a repeat from the budget.
 func (fl *flight) pay() bool {
-	paid := false
-	fl.forwarder.withBudget(fl.request.service, func(b *retrybudget.Budget, now time.Duration, nodes int) { paid = b.Take(now, nodes) })
+	paid := fl.forwarder.takeRepeat(fl.request.service)
 	if !paid {
 		fl.record("no-retry", "budget")
 	}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -31,14 +31,23 @@
 	CountSent(id string)
 	Path(ip string) (broken float64, leaving bool)
 	ObservePath(ip string, outcome faultfilter.Outcome)
-	Nodes() int
+	// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
+	Repeats(service string) (retrybudget.Usage, float64)
+	// Incarnation returns that of the process which last reported from a host, or 0.
+	Incarnation(ip string) uint64
+}
+
+// Target is the process to which an attempt was sent.
+type Target struct {
+	IP          string
+	Incarnation uint64
 }
 
 // Inquirer asks the dispatcher of a host what became of an attempt. One that the dispatcher does not know will not run.
 type Inquirer interface {
-	Inquire(ctx context.Context, ip, attempt string) (attempts.State, error)
+	Inquire(ctx context.Context, target Target, attempt string) (attempts.State, error)
 	// Withdraw does the same after taking the attempt out of the queue if it still waits for a slot.
-	Withdraw(ctx context.Context, ip, attempt string) (attempts.State, error)
+	Withdraw(ctx context.Context, target Target, attempt string) (attempts.State, error)
 }
 
 // Options are the parts that a forwarder works with.
@@ -161,19 +170,6 @@
 	return pool
 }
 
-// withBudget runs a function on the retry budget of a service.
-func (f *Forwarder) withBudget(service string, use func(b *retrybudget.Budget, now time.Duration, nodes int)) {
-	nodes := f.options.Conditions.Nodes()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	b := f.budgets[service]
-	if b == nil {
-		b = retrybudget.New(f.options.Budget)
-		f.budgets[service] = b
-	}
-	use(b, f.options.Clock.Now(), nodes)
-}
-
 // random returns a uniform draw in [0, 1).
 func (f *Forwarder) random() float64 {
 	f.mu.Lock()
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -15,7 +15,6 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"agatepulley.example/agatepulley/core/outcome"
-	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -121,7 +120,7 @@
 	}
 	r.body = body
 	r.head = relay.RequestHead(&c.Request)
-	f.withBudget(r.service, func(b *retrybudget.Budget, now time.Duration, _ int) { b.Request(now) })
+	f.countRequest(r.service)
 	return r, nil
 }
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -166,11 +166,14 @@
 	return outcome.Lose(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, p.host, err)
 }
 
-type question = func(ctx context.Context, ip, attempt string) (attempts.State, error)
+type question = func(ctx context.Context, target Target, attempt string) (attempts.State, error)
 
 func (f *Forwarder) inquire(ctx context.Context, p *pick, meta *hop.Meta, ask question) (attempts.State, bool) {
+	if p.incarnation == 0 {
+		return attempts.Unknown, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, inquireTimeout)
 	defer cancel()
-	state, err := ask(ctx, p.host, meta.Attempt)
+	state, err := ask(ctx, Target{IP: p.host, Incarnation: p.incarnation}, meta.Attempt)
 	return state, err == nil
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -49,8 +50,9 @@
 type Site struct {
 	Store   discovery.Store
 	Headers dialect.Headers
-	// Reload reads the settings again.
-	Reload func() (*Settings, error)
+	// Load reads the settings again, which is done periodically and after each signal of Reload.
+	Load   func() (*Settings, error)
+	Reload <-chan os.Signal
 }
 
 // Member is one node of the fleet.
@@ -224,6 +226,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.site.Reload:
+			m.logger.Info("reload requested")
 		case <-ticker.C:
 		}
 		lastErr = m.reload(lastErr)
@@ -233,7 +237,7 @@
 // reload reads the settings. Those that decide addresses take effect at the next start only. It returns the error text,
 // so that each error is logged once.
 func (m *Member) reload(lastErr string) string {
-	s, err := m.site.Reload()
+	s, err := m.site.Load()
 	if err != nil {
 		if err.Error() != lastErr {
 			m.logger.Warn("settings not reloaded", "error", err)
--- a/pkg/member/network.go
+++ b/pkg/member/network.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/discovery"
+	"agatepulley.example/agatepulley/pkg/forward"
 	"agatepulley.example/agatepulley/pkg/reports"
 )
 
@@ -19,6 +21,8 @@
 
 type attemptParams struct {
 	Attempt string `json:"attempt"`
+	// Incarnation is that of the process to which the attempt was sent. Another one knows nothing of it.
+	Incarnation uint64 `json:"incarnation"`
 }
 
 type attemptResult struct {
@@ -31,36 +35,40 @@
 }
 
 // Inquire implements forward.Inquirer.
-func (q *inquirer) Inquire(ctx context.Context, ip, attempt string) (attempts.State, error) {
-	return q.call(ctx, ip, methodInquire, attempt)
+func (q *inquirer) Inquire(ctx context.Context, target forward.Target, attempt string) (attempts.State, error) {
+	return q.call(ctx, target, methodInquire, attempt)
 }
 
 // Withdraw implements forward.Inquirer.
-func (q *inquirer) Withdraw(ctx context.Context, ip, attempt string) (attempts.State, error) {
-	return q.call(ctx, ip, methodWithdraw, attempt)
+func (q *inquirer) Withdraw(ctx context.Context, target forward.Target, attempt string) (attempts.State, error) {
+	return q.call(ctx, target, methodWithdraw, attempt)
 }
 
-func (q *inquirer) call(ctx context.Context, ip, method, attempt string) (attempts.State, error) {
+func (q *inquirer) call(ctx context.Context, target forward.Target, method, attempt string) (attempts.State, error) {
 	var result attemptResult
-	err := q.member.peers.Call(ctx, q.member.peerAddress(ip), method, attemptParams{Attempt: attempt}, &result)
+	params := attemptParams{Attempt: attempt, Incarnation: target.Incarnation}
+	err := q.member.peers.Call(ctx, q.member.peerAddress(target.IP), method, params, &result)
 	if err != nil {
-		return "", fmt.Errorf("%s at %s: %w", method, ip, err)
+		return "", fmt.Errorf("%s at %s: %w", method, target.IP, err)
 	}
 	return result.State, nil
 }
 
 // answerInquiries lets other nodes ask about attempts.
 func (m *Member) answerInquiries() {
-	m.peers.Handle(methodInquire, attemptHandler(m.dispatcher.Inquire))
-	m.peers.Handle(methodWithdraw, attemptHandler(m.dispatcher.Withdraw))
+	m.peers.Handle(methodInquire, m.attemptHandler(m.dispatcher.Inquire))
+	m.peers.Handle(methodWithdraw, m.attemptHandler(m.dispatcher.Withdraw))
 }
 
-func attemptHandler(look func(attempt string) attempts.State) func(context.Context, string, json.RawMessage) (any, error) {
+func (m *Member) attemptHandler(look func(attempt string) attempts.State) func(context.Context, string, json.RawMessage) (any, error) {
 	return func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
 		var params attemptParams
 		if err := json.Unmarshal(raw, &params); err != nil {
 			return nil, fmt.Errorf("decode parameters: %w", err)
 		}
+		if params.Incarnation != m.incarnation {
+			return attemptResult{State: attempts.Unknown}, nil
+		}
 		return attemptResult{State: look(params.Attempt)}, nil
 	}
 }
@@ -76,6 +84,11 @@
 		r.StoreMS = int(summary.StoreContact.Milliseconds())
 	}
 	r.Endpoints = m.dispatcher.Reports()
+	for service, usage := range m.forwarder.Usage() {
+		r.Repeats = append(r.Repeats, reports.Repeats{
+			Service: service, Requests: usage.Requests, Repeats: math.Ceil(usage.Repeats),
+		})
+	}
 }
 
 // observeReport compares the sender's picture of the fleet with this node's.
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -16,6 +16,13 @@
 	OutcomeMS int `json:"o"`
 }
 
+// Repeats is what a node counted for a service in the latest window of the retry budget.
+type Repeats struct {
+	Service  string  `json:"s"`
+	Requests float64 `json:"r"`
+	Repeats  float64 `json:"u,omitempty"`
+}
+
 // Report is what one node tells another.
 type Report struct {
 	// Host is the IP number of the sender's host.
@@ -34,6 +41,7 @@
 	// HeardMS is the time since the sender last heard the receiver, in milliseconds, or negative.
 	HeardMS   int        `json:"y"`
 	Endpoints []Endpoint `json:"e,omitempty"`
+	Repeats   []Repeats  `json:"b,omitempty"`
 }
 
 // Known is the latest report on an endpoint, with the time at which it was received.
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -13,6 +13,7 @@
 
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/membership"
+	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/kernel"
 )
@@ -209,6 +210,37 @@
 // startingDoubt is the local probability from which failed exchanges on a path count beside the reports.
 const startingDoubt = 0.3
 
+// Incarnation returns that of the process which last reported from a host, or 0.
+func (s *Service) Incarnation(ip string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.hosts[ip]; h != nil {
+		return h.report.Incarnation
+	}
+	return 0
+}
+
+// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
+func (s *Service) Repeats(service string) (retrybudget.Usage, float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	var sum retrybudget.Usage
+	heard := 1
+	for _, h := range s.hosts {
+		if !h.path.ever || now-h.path.heardAt > liveFor {
+			continue
+		}
+		heard++
+		for _, r := range h.report.Repeats {
+			if r.Service == service {
+				sum = sum.Add(retrybudget.Usage{Requests: r.Requests, Repeats: r.Repeats})
+			}
+		}
+	}
+	return sum, float64(heard) / float64(1+len(s.hosts))
+}
+
 // Nodes returns the number of live nodes, this one included.
 func (s *Service) Nodes() int {
 	s.mu.Lock()
