Divide what is left of the retry budget among the nodes, remember removed endpoints

Tests: core/retrybudget, core/registry, core/routing, core/placement, core/faultfilter; the first two failed before the change.

--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/core/placement"
+)
+
+func sound() placement.Candidate {
+	return placement.Candidate{
+		FailProbability: 0.01, Slots: 3, ServiceTime: 190 * time.Millisecond, SinceOutcome: 100 * time.Millisecond,
+	}
+}
+
+func draw(r placement.Request, candidates []placement.Candidate, rounds int) []int {
+	rng := rand.New(rand.NewPCG(3, 4))
+	counts := make([]int, len(candidates)+1)
+	for range rounds {
+		n, _ := placement.Choose(rng, r, candidates)
+		if n < 0 {
+			n = len(candidates)
+		}
+		counts[n]++
+	}
+	return counts
+}
+
+var unsafe = placement.Request{TargetLatency: 800 * time.Millisecond}
+
+// Plays gray failures: requests that may run only once must not go to endpoints that probably fail while there are
+// others, however busy those are.
+func TestRequestsThatRunOnceAvoidDoubtfulEndpoints(t *testing.T) {
+	g := gomega.NewWithT(t)
+	doubtful, busy := sound(), sound()
+	doubtful.FailProbability = 0.5
+	busy.Busy = 3
+	counts := draw(unsafe, []placement.Candidate{doubtful, busy}, 1000)
+	g.Expect(counts[0]).To(gomega.BeNumerically("<", 5))
+}
+
+// Plays the crest of a rush: nodes that decide on the same reports must spread over the free slots.
+func TestEqualEndpointsShareTheLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	candidates := make([]placement.Candidate, 10)
+	for n := range candidates {
+		candidates[n] = sound()
+	}
+	candidates[0].Busy = 3
+	counts := draw(unsafe, candidates, 9000)
+	g.Expect(counts[0]).To(gomega.BeNumerically("<", 400))
+	for _, count := range counts[1:10] {
+		g.Expect(count).To(gomega.BeNumerically("~", 1000, 250))
+	}
+}
+
+// Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
+// one is left alone until it may have recovered.
+func TestRepeatableRequestsProbe(t *testing.T) {
+	g := gomega.NewWithT(t)
+	quiet, failing := sound(), sound()
+	quiet.SinceOutcome, quiet.FailProbability = time.Second, 0.1
+	failing.SinceOutcome, failing.FailProbability = time.Second, 0.95
+	candidates := []placement.Candidate{sound(), quiet, failing, sound()}
+	probe := placement.Request{Repeatable: true, MayExplore: true, TargetLatency: 800 * time.Millisecond}
+	counts := draw(probe, candidates, 1000)
+	g.Expect(counts[1]).To(gomega.Equal(1000))
+	g.Expect(draw(unsafe, candidates, 1000)[1]).To(gomega.BeNumerically("<", 100))
+	candidates[1].Sent = 1
+	counts = draw(probe, candidates, 1000)
+	g.Expect(counts[2]).To(gomega.BeNumerically("<", 20))
+}
+
+// Plays large downloads, whose bytes between zones are charged for: they stay in their zone while it has room, and leave
+// it when its endpoints fail.
+func TestLargeRequestsStayInTheirZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := sound(), sound()
+	far.OtherZone, far.RoundTrip = true, 8*time.Millisecond
+	download := placement.Request{Repeatable: true, Large: true, TargetLatency: 600 * time.Millisecond}
+	g.Expect(draw(download, []placement.Candidate{near, far}, 1000)[1]).To(gomega.BeNumerically("<", 5))
+	near.FailProbability = 0.98
+	g.Expect(draw(download, []placement.Candidate{near, far}, 1000)[1]).To(gomega.BeNumerically(">", 500))
+}
+
+// Guards against an endpoint that gets the same request twice.
+func TestTriedEndpointsAreNotChosen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tried := sound()
+	tried.Tried = true
+	g.Expect(draw(unsafe, []placement.Candidate{tried}, 10)[1]).To(gomega.Equal(10))
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -129,7 +129,13 @@
 	for _, e := range s.Entries {
 		if !e.Gone {
 			changes = g.put(changes, now, e)
-		} else if r := g.records[e.ID]; r != nil && !r.Gone && r.Revision <= e.Revision {
+			continue
+		}
+		switch r := g.records[e.ID]; {
+		case r == nil, r.Gone:
+			// Remembered, so that older news do not bring the entry back.
+			changes = g.put(changes, now, e)
+		case r.Revision <= e.Revision:
 			changes = g.remove(changes, now, r, e.Revision)
 		}
 	}
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -1,12 +1,15 @@
 // Package retrybudget limits how often the nodes of a fleet send requests of a service again, without a shared counter.
 //
 // Over the whole fleet, the repeats of a service in any window may reach a share of its requests plus a constant. Each
-// node counts its own requests and repeats and hears the counts of the others. A repeat is allowed while the sum of all
-// that are known stays below the limit by a margin that covers what the others do until they are heard again. Nodes
-// that are not heard may spend on their own, so the constant is divided by the share of the fleet that is known.
+// node counts its own requests and repeats and hears the counts of the others. What is left of the limit is divided
+// among the nodes for the time until they hear of each other again, so that together they do not overspend it. Nodes
+// that are not heard spend on their own, so the constant is divided by the share of the fleet that is known.
 package retrybudget
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Settings are the fleet's limit.
 type Settings struct {
@@ -18,9 +21,10 @@
 }
 
 const (
-	// spendShare is the part of the limit that is used. The rest covers repeats of other nodes that are not known yet.
-	spendShare = 0.75
-	// buckets divide a window, so that old entries leave it in small steps.
+	// spendShare is the part of the limit that is used. The rest covers counts that arrive late.
+	spendShare = 0.8
+	// buckets divide a window, so that old entries leave it in small steps. One is about as long as it takes until a
+	// node's counts are known to all others.
 	buckets = 20
 )
 
@@ -44,17 +48,20 @@
 type bucket struct {
 	slot int64
 	Usage
+	// draw decides whether the node gets one of the last repeats, which are fewer than the nodes.
+	draw float64
 }
 
 // Budget counts the requests and repeats of one node for one service. It is not safe for concurrent use.
 type Budget struct {
 	window time.Duration
+	rng    *rand.Rand
 	ring   [buckets]bucket
 }
 
 // New returns an empty budget.
-func New(s Settings) *Budget {
-	return &Budget{window: s.Window}
+func New(s Settings, rng *rand.Rand) *Budget {
+	return &Budget{window: s.Window, rng: rng}
 }
 
 // Request counts a request of a caller.
@@ -79,6 +86,28 @@
 	return sum
 }
 
+// Allows decides on a repeat when a number of them are left for the given number of nodes.
+func (b *Budget) Allows(now time.Duration, left float64, nodes int) bool {
+	quota := left / float64(max(nodes, 1))
+	recent := b.recent(now)
+	if quota < 1 {
+		return recent == 0 && b.bucket(now).draw < quota
+	}
+	return recent+1 <= quota
+}
+
+// recent returns the repeats that other nodes may not have heard of.
+func (b *Budget) recent(now time.Duration) float64 {
+	slot := b.slot(now)
+	recent := 0.0
+	for _, entry := range b.ring {
+		if entry.slot >= slot-1 {
+			recent += entry.Repeats
+		}
+	}
+	return recent
+}
+
 func (b *Budget) slot(now time.Duration) int64 {
 	return int64(now / (b.window / buckets))
 }
@@ -87,7 +116,7 @@
 	slot := b.slot(now)
 	entry := &b.ring[slot%buckets]
 	if entry.slot != slot {
-		*entry = bucket{slot: slot}
+		*entry = bucket{slot: slot, draw: b.rng.Float64()}
 	}
 	return entry
 }
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,92 @@
+package routing_test
+
+import (
+	"cmp"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatepulley.example/agatepulley/core/routing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", cmp.Or(os.Getenv("AGATEPULLEY_TEST_SEED"), "1")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func route(host, prefix string, targets ...routing.Target) routing.Route {
+	return routing.Route{
+		Name: host + prefix, Host: host, Prefix: prefix, Kind: routing.Safe, Timeout: time.Second, Attempts: 2, Targets: targets,
+	}
+}
+
+// Guards against a request that is sent to the service of another host or of a shorter prefix.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		segment := rapid.SampledFrom([]string{"a", "b", "ab"})
+		prefix := rapid.Custom(func(t *rapid.T) string {
+			parts := rapid.SliceOfN(segment, 0, 3).Draw(t, "segments")
+			return strings.Join(append([]string{""}, append(parts, "")...), "/")
+		})
+		host := rapid.SampledFrom([]string{"one.example", "two.example"})
+		c := &routing.Config{Version: 1}
+		seen := make(map[string]bool)
+		for range rapid.IntRange(0, 12).Draw(t, "routes") {
+			r := route(host.Draw(t, "host"), prefix.Draw(t, "prefix"), routing.Target{Service: "s", Weight: 1})
+			if !seen[r.Name] {
+				seen[r.Name] = true
+				c.Routes = append(c.Routes, r)
+			}
+		}
+		table := routing.NewTable(c)
+		asked, path := host.Draw(t, "asked host"), prefix.Draw(t, "path")+segment.Draw(t, "last")
+		want := ""
+		for _, r := range c.Routes {
+			if r.Host == asked && strings.HasPrefix(path, r.Prefix) && len(r.Prefix) >= len(strings.TrimPrefix(want, asked)) {
+				want = r.Name
+			}
+		}
+		got := ""
+		if r := table.Match(strings.ToUpper(asked)+":80", path); r != nil {
+			got = r.Name
+		}
+		g.Expect(got).To(gomega.Equal(want))
+	})
+}
+
+// Guards against a split that sends requests to a part without weight or leaves out one that has some.
+func TestSplitFollowsTheWeights(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := route("h", "/", routing.Target{Service: "a", Weight: 90}, routing.Target{Service: "none", Weight: 0}, routing.Target{Service: "b", Weight: 10})
+	counts := make(map[string]int)
+	for n := range 1000 {
+		counts[r.Pick(float64(n)/1000)]++
+	}
+	g.Expect(counts).To(gomega.Equal(map[string]int{"a": 900, "b": 100}))
+}
+
+// Guards against a configuration that is taken with a route nobody can serve.
+func TestValidateNamesEachProblem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &routing.Config{
+		Version:  0,
+		Services: []routing.Service{{Name: "s"}, {Name: "s"}},
+		Routes:   []routing.Route{{Host: "h", Prefix: "a", Kind: "odd", Targets: []routing.Target{{Service: "x"}}}},
+	}
+	err := c.Validate()
+	g.Expect(err).To(gomega.HaveOccurred())
+	for _, part := range []string{
+		"version", "services[1].name", "routes[0].prefix", "routes[0].kind", "routes[0].timeout", "routes[0].attempts", "routes[0].targets[0].service",
+	} {
+		g.Expect(err.Error()).To(gomega.ContainSubstring(part))
+	}
+}
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -20,13 +20,15 @@
 
 // takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did.
 func (f *Forwarder) takeRepeat(service string) bool {
-	if f.repeatsLeft(service) < 1 {
-		return false
-	}
+	left, nodes := f.repeatsLeft(service), f.options.Conditions.Nodes()
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Repeat(now, 1)
+	b := f.budget(service)
+	if !b.Allows(now, left, nodes) {
+		return false
+	}
+	b.Repeat(now, 1)
 	f.countCalls(now, service)
 	return true
 }
@@ -77,7 +79,7 @@
 func (f *Forwarder) budget(service string) *retrybudget.Budget {
 	b := f.budgets[service]
 	if b == nil {
-		b = retrybudget.New(f.options.Budget)
+		b = retrybudget.New(f.options.Budget, f.rng)
 		f.budgets[service] = b
 	}
 	return b
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -31,6 +31,8 @@
 	CountSent(id string)
 	Path(ip string) (broken float64, leaving bool)
 	ObservePath(ip string, outcome faultfilter.Outcome)
+	// Nodes returns the number of live nodes, this one included.
+	Nodes() int
 	// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
 	Repeats(service string) (retrybudget.Usage, float64)
 	// Incarnation returns that of the process which last reported from a host, or 0.
