--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	Clock     clock.Clock
 	Decisions *decision.Recorder
 	View      func() *registry.View
+	// Peers returns the median condition of the other endpoints of a service, or false if there are none.
+	Peers func(service, except string) (reports.Endpoint, bool)
 	// Changed is called when the other nodes should learn of an endpoint's condition at once.
 	Changed func()
 }
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -41,8 +41,10 @@
 	// doubt is the probability of failing from which a change is told to the other nodes at once.
 	doubt = 0.15
 	// suspectFrom is the probability of failing from which waiting requests are sent back, so that they can be placed
-	// elsewhere.
+	// elsewhere. They are not if the service fails as a whole, that is, if half of the other endpoints are beyond
+	// soundUpTo.
 	suspectFrom = 0.6
+	soundUpTo   = 0.3
 	// maxRoutes bounds the routes whose service times are kept apart.
 	maxRoutes = 256
 	// elsewhereWait is the expected wait from which a request that can be served elsewhere is refused as busy.
@@ -62,12 +64,13 @@
 
 	mu       sync.Mutex
 	born     int64
+	service  string
 	slots    int
 	queue    *admission.Queue
 	waiting  map[string]chan error
 	running  map[string]*running
 	filter   faultfilter.Filter
-	service  time.Duration
+	mean     time.Duration
 	routes   map[string]time.Duration
 	outcome  time.Duration
 	observed bool
@@ -81,7 +84,7 @@
 		waiting:    make(map[string]chan error),
 		running:    make(map[string]*running),
 		routes:     make(map[string]time.Duration),
-		service:    defaultService,
+		mean:       defaultService,
 	}
 	e.resize(unknownSlots)
 	return e
@@ -91,6 +94,7 @@
 func (e *endpoint) configure(listed *registry.Endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.service = listed.Service
 	if listed.Born != e.born {
 		e.born = listed.Born
 		e.filter.Reset()
@@ -141,14 +145,14 @@
 // oldest: one long request is ordinary, two are a sign of a slow endpoint.
 func (e *endpoint) expectedService(now time.Duration) time.Duration {
 	if len(e.running) < 2 {
-		return e.service
+		return e.mean
 	}
 	ages := make([]time.Duration, 0, len(e.running))
 	for _, r := range e.running {
 		ages = append(ages, now-r.begin)
 	}
 	slices.Sort(ages)
-	return max(e.service, ages[len(ages)-2])
+	return max(e.mean, ages[len(ages)-2])
 }
 
 // run admits a request and sends it.
@@ -291,7 +295,7 @@
 	if known, ok := e.routes[route]; ok {
 		return known
 	}
-	return max(e.service, defaultService)
+	return max(e.mean, defaultService, e.peersMean())
 }
 
 // learn takes the outcome of a request as evidence. The time is that from the first byte sent to the end of the
@@ -315,7 +319,7 @@
 }
 
 func (e *endpoint) learnTime(route string, took time.Duration) {
-	e.service += time.Duration(serviceWeight * float64(took-e.service))
+	e.mean += time.Duration(serviceWeight * float64(took-e.mean))
 	known, ok := e.routes[route]
 	switch {
 	case ok:
@@ -336,6 +340,21 @@
 	return crossed
 }
 
+// peersMean is the usual service time of the other endpoints. The caller holds the lock.
+func (e *endpoint) peersMean() time.Duration {
+	peers, ok := e.dispatcher.options.Peers(e.service, e.id)
+	if !ok {
+		return 0
+	}
+	return time.Duration(peers.ServiceMS) * time.Millisecond
+}
+
+// peersSound reports whether most of the other endpoints work. The caller holds the lock.
+func (e *endpoint) peersSound() bool {
+	peers, ok := e.dispatcher.options.Peers(e.service, e.id)
+	return ok && peers.FailPerMille < soundUpTo*1000
+}
+
 // sendBack refuses the requests that wait. The caller holds the lock.
 func (e *endpoint) sendBack() {
 	for attempt := range e.waiting {
@@ -358,7 +377,7 @@
 			e.outcome, e.observed = now, true
 		}
 	}
-	if e.filter.Probability(now) >= suspectFrom {
+	if len(e.waiting) > 0 && e.filter.Probability(now) >= suspectFrom && e.peersSound() {
 		e.sendBack()
 	}
 	e.advance(now)
--- a/pkg/member/network.go
+++ b/pkg/member/network.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"agatepulley.example/agatepulley/pkg/attempts"
@@ -98,3 +99,19 @@
 		StoreContact: time.Duration(r.StoreMS) * time.Millisecond,
 	})
 }
+
+// medianCondition returns the median condition of the endpoints of a service other than one.
+func (m *Member) medianCondition(service, except string) (reports.Endpoint, bool) {
+	var fails, times []int
+	for _, e := range m.discovery.View().ByService[service] {
+		if known, ok := m.reports.Endpoint(e.ID); ok && e.ID != except {
+			fails, times = append(fails, known.FailPerMille), append(times, known.ServiceMS)
+		}
+	}
+	if len(fails) == 0 {
+		return reports.Endpoint{}, false
+	}
+	slices.Sort(fails)
+	slices.Sort(times)
+	return reports.Endpoint{FailPerMille: fails[len(fails)/2], ServiceMS: times[len(times)/2]}, true
+}
--- a/pkg/member/settings.go
+++ b/pkg/member/settings.go
@@ -25,8 +25,10 @@
 	// StoreReadsPerSec is the number of calls that the store takes from all nodes together.
 	StoreReadsPerSec int
 
-	// StopTimeout is the time after which the platform kills a process that was asked to stop.
+	// StopTimeout is the time after which the platform kills a process that was asked to stop, and StopNotice the time
+	// for which callers may still come although the node says that it is not ready.
 	StopTimeout time.Duration
+	StopNotice  time.Duration
 
 	// The retries of a service over the whole fleet may reach RetryRatio of its requests plus RetryConstant in each
 	// RetryWindow.
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -10,9 +10,6 @@
 
 const (
 	stopPoll = 20 * time.Millisecond
-	// stopNotice is how long callers may still come: the platform asks once a second whether a node is ready and takes
-	// it out after two misses.
-	stopNotice = 2300 * time.Millisecond
 	// stopQuiet is how long no request must be in flight before the listeners close.
 	stopQuiet = 150 * time.Millisecond
 	// stopReserve is the part of the stop timeout that is left for the release of resources.
@@ -41,7 +38,8 @@
 func (m *Member) awaitQuiet() error {
 	start := time.Now()
 	quietSince := start
-	limit := m.settings.Load().StopTimeout - stopReserve
+	s := m.settings.Load()
+	limit := s.StopTimeout - stopReserve
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for now := range ticker.C {
@@ -52,7 +50,7 @@
 			m.logger.Error("stop timeout", "in_flight", m.inFlight())
 			return errStopTimeout
 		}
-		if now.Sub(start) >= stopNotice && now.Sub(quietSince) >= stopQuiet {
+		if now.Sub(start) >= s.StopNotice && now.Sub(quietSince) >= stopQuiet {
 			return nil
 		}
 	}
