Take a peer's endpoints as a complete read, keep the position of own watches

The whole fleet kept sending to the removed endpoint until the next complete read.

Ruled out: lost watch answers and dropped history; the trace shows watches that skip revisions 97 to 100.

Test: core/registry, failing before.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -108,11 +108,10 @@
 	var changes []Change
 	listed := make(map[string]bool, len(s.Entries))
 	for _, e := range s.Entries {
-		if e.Gone {
-			continue
+		if !e.Gone {
+			listed[e.ID] = true
+			changes = g.put(changes, now, e)
 		}
-		listed[e.ID] = true
-		changes = g.put(changes, now, e)
 	}
 	for id, r := range g.records {
 		if !listed[id] && !r.Gone && r.Revision <= s.Revision {
@@ -143,14 +142,16 @@
 	return changes
 }
 
-// Merge takes over what another node knows. What that node has decided to be gone is gone.
+// Merge takes over what another node knows, which is complete up to its revision. What that node has decided to be gone
+// is gone.
 func (g *Registry) Merge(now time.Duration, s Snapshot) []Change {
 	var changes []Change
 	for _, e := range s.Entries {
-		changes = g.put(changes, now, e)
+		if e.Gone {
+			changes = g.put(changes, now, e)
+		}
 	}
-	g.revision = max(g.revision, s.Revision)
-	return changes
+	return append(changes, g.Replace(now, s)...)
 }
 
 // Expire removes the entries whose removal was held back and that have not returned.
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -105,3 +105,16 @@
 	g.Expect(digest(draining)).NotTo(gomega.Equal(digest(base)))
 	g.Expect(digest(reborn)).NotTo(gomega.Equal(digest(base)))
 }
+
+// Guards against an endpoint that stays listed because the node that tells of newer changes never knew it, and so has no
+// record of its removal.
+func TestMergeTakesOverRemovalsThatTheOtherNeverSaw(t *testing.T) {
+	g := gomega.NewWithT(t)
+	newcomer := registry.New()
+	newcomer.Replace(0, read(100, entry("stays", 7)))
+	r := registry.New()
+	r.Replace(0, read(96, entry("stays", 7), entry("removed in 98", 5)))
+	r.Merge(0, newcomer.Snapshot(0))
+	g.Expect(r.View().ByID).To(gomega.And(gomega.HaveLen(1), gomega.HaveKey("stays")))
+	g.Expect(r.Digest()).To(gomega.Equal(newcomer.Digest()))
+}
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -98,17 +98,22 @@
 // readEndpoints keeps the endpoints in step with the store.
 func (s *Service) readEndpoints(ctx context.Context) {
 	backoff := firstBackoff
-	complete := false
+	// position is the revision from which this node's own watches go on. What peers tell in between must not move it:
+	// their revision may be newer, but only the store has the history.
+	var position uint64
+	read := false
 	for ctx.Err() == nil {
-		if complete && !s.shouldRead() {
+		if read && !s.shouldRead() {
 			sleep(ctx, idlePoll)
+			position = s.revision.Load()
 			continue
 		}
 		begin := s.options.Clock.Now()
-		err := s.nextEndpoints(ctx, complete)
+		next, err := s.nextEndpoints(ctx, position)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
-			complete = false
+			s.options.Decisions.Record(decision.Decision{Step: stepStore, Outcome: "history-lost", Reason: "read-all"})
+			position = 0
 			continue
 		case err != nil:
 			s.storeFailed(ctx, err)
@@ -117,33 +122,34 @@
 			continue
 		}
 		backoff = firstBackoff
-		complete = true
+		position, read = max(position, next), true
 		sleep(ctx, endpointsInterval-(s.options.Clock.Now()-begin))
 	}
 }
 
-func (s *Service) nextEndpoints(ctx context.Context, complete bool) error {
+// nextEndpoints reads all endpoints, or waits for changes after a position. It returns the next position.
+func (s *Service) nextEndpoints(ctx context.Context, position uint64) (uint64, error) {
 	var read EndpointsRead
 	var err error
-	if complete {
-		read, err = s.options.Store.WatchEndpoints(ctx, s.revision.Load(), watchWait)
+	if position > 0 {
+		read, err = s.options.Store.WatchEndpoints(ctx, position, watchWait)
 	} else {
 		read, err = s.options.Store.Endpoints(ctx)
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.storeAnswered()
 	for _, invalid := range read.Invalid {
 		s.noteInvalid(invalid)
 	}
 	s.update("store", func(g *registry.Registry, now time.Duration) []registry.Change {
-		if complete {
+		if position > 0 {
 			return g.Apply(now, read.Snapshot)
 		}
 		return g.Replace(now, read.Snapshot)
 	})
-	return nil
+	return read.Revision, nil
 }
 
 // expire removes entries whose removal was held back.
