Send compact reports, keep busy endpoints as candidates, keep the retry budget for failures

Cause, by the price lines and by the decisions of failed requests: reports took a third of the bytes between zones; nodes that only waited for the store took turns in reading it, because a waiting watch counted as lost contact; requests refused as busy went on to endpoints known to fail, and probes used up the budget that failed repeatable requests needed.

Reports are msgpack arrays of about 100 bytes instead of 330, at intervals that grow with the fleet. A watch that waits is in contact. A busy endpoint may be chosen again, to wait there. Probes leave 40% of the budget. Endpoints of other zones cost a tenth of the target latency. The node keeps fewer decisions in memory and collects garbage earlier where memory is charged for.

--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -29,6 +29,8 @@
 const (
 	// gcPercent trades memory for processor time: the live heap of a node is small against its memory limit.
 	gcPercent = 400
+	// siteGCPercent is used where memory is charged for and hosts are small.
+	siteGCPercent = 75
 	// memoryLimitBytes makes the collector work harder before the node reaches the 128 MB that a host grants it.
 	memoryLimitBytes = 112 << 20
 )
@@ -75,6 +77,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	if s.SiteSettings != "" {
+		debug.SetGCPercent(siteGCPercent)
+	}
 	debug.SetMemoryLimit(memoryLimitBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -61,7 +61,7 @@
 	lostCost   = 4.0
 	repeatCost = 0.6
 	// Bytes between zones are charged for. The penalties are in units of the target latency.
-	otherZoneCost      = 0.03
+	otherZoneCost      = 0.1
 	largeOtherZoneCost = 0.5
 	// spread is the cost difference, in units of the target latency, that makes a choice e times less likely.
 	spread = 0.05
@@ -71,7 +71,7 @@
 	exploreAfter = 350 * time.Millisecond
 	// exploreMaxFail is the probability of failing from which an endpoint is left alone until time has made its recovery
 	// likely enough for a probe.
-	exploreMaxFail = 0.75
+	exploreMaxFail = 0.6
 	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
 	exploreMaxPath = 0.3
 	// defaultTargetLatency is used for routes without one.
--- a/pkg/decision/decision.go
+++ b/pkg/decision/decision.go
@@ -38,7 +38,8 @@
 const (
 	// logRingCapacity holds the lines of one batch period at 80,000 decisions a second.
 	logRingCapacity = 4096
-	recordedIDs     = 8192
+	// DefaultCapacity is the number of requests whose decisions are kept.
+	DefaultCapacity = 8192
 	maxPerRequest   = 16
 	// batchPeriod is how long lines are collected before they are written together. Writing each line by itself woke a
 	// thread for every decision.
@@ -67,14 +68,14 @@
 	done   chan struct{}
 }
 
-// NewRecorder returns a recorder that writes to log.
-func NewRecorder(log Log) *Recorder {
+// NewRecorder returns a recorder that writes to log and keeps the decisions of a number of requests.
+func NewRecorder(log Log, capacity int) *Recorder {
 	return &Recorder{
 		log:    log,
 		logger: slog.New(log.Handler()),
 		queue:  ring.New[Decision](logRingCapacity, ring.DropOldest),
-		byID:   make(map[string][]Decision, recordedIDs),
-		order:  make([]string, recordedIDs),
+		byID:   make(map[string][]Decision),
+		order:  make([]string, capacity),
 		done:   make(chan struct{}),
 	}
 }
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -13,6 +13,8 @@
 const (
 	// watchWait is how long a watch waits. It bounds how long a watch on a dead connection goes unnoticed.
 	watchWait = time.Second
+	// watchSlack is how much longer than asked a watch may take.
+	watchSlack = 300 * time.Millisecond
 	// endpointsInterval is the shortest time between two watches of the endpoints, whose heartbeats would otherwise end
 	// each watch at once.
 	endpointsInterval = 400 * time.Millisecond
@@ -21,7 +23,7 @@
 	maxBackoff   = 500 * time.Millisecond
 	// takeoverAfter is the age of the latest contact of others with the store from which this node reads as well, and
 	// takeoverStagger the further age for each rank.
-	takeoverAfter   = 1500 * time.Millisecond
+	takeoverAfter   = 800 * time.Millisecond
 	takeoverStagger = 200 * time.Millisecond
 	// idlePoll is how often a node that does not read checks whether it should.
 	idlePoll = 100 * time.Millisecond
@@ -44,7 +46,11 @@
 	if !c.ever {
 		return -1
 	}
-	return now - c.at
+	// A watch that waits is in contact; only one that should have ended is not.
+	if age := now - c.at; c.away || age > watchWait+watchSlack {
+		return age
+	}
+	return 0
 }
 
 // shouldRead reports whether this node reads the store now.
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -36,7 +36,7 @@
 	// Revision is the revision of the store up to which the endpoints are known, and Digest their state.
 	Revision uint64
 	Digest   uint64
-	// StoreContact is the time since the node itself was last answered by the store, or negative if it never was.
+	// StoreContact is the time for which the store has not answered the node as it should, or negative if it never did.
 	StoreContact time.Duration
 }
 
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -18,9 +18,11 @@
 	f.budget(service).Request(now)
 }
 
-// takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did.
-func (f *Forwarder) takeRepeat(service string) bool {
-	left, nodes := f.repeatsLeft(service), f.options.Conditions.Nodes()
+// takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did. Runs of repeatable requests
+// may call other services; others are repeated only if they have not run.
+func (f *Forwarder) takeRepeat(service string, repeatable bool) bool {
+	left, _ := f.repeats(service)
+	nodes := f.options.Conditions.Nodes()
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -29,7 +31,9 @@
 		return false
 	}
 	b.Repeat(now, 1)
-	f.countCalls(now, service)
+	if repeatable {
+		f.countCalls(now, service)
+	}
 	return true
 }
 
@@ -52,13 +56,15 @@
 	}
 }
 
-// repeatsLeft returns how many repeats of a service the fleet may still make.
-func (f *Forwarder) repeatsLeft(service string) float64 {
+// repeats returns how many repeats of a service the fleet may still make, and how many it may make in all.
+func (f *Forwarder) repeats(service string) (left, limit float64) {
 	others, share := f.options.Conditions.Repeats(service)
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.options.Budget.Left(f.budget(service).Usage(now).Add(others), share)
+	total := f.budget(service).Usage(now).Add(others)
+	limit = f.options.Budget.Left(retrybudget.Usage{Requests: total.Requests}, share)
+	return limit - total.Repeats, limit
 }
 
 // Usage returns what this node counted for each service in the latest window.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -23,9 +23,9 @@
 	loadLifetime = 1500 * time.Millisecond
 	// never is the age of an outcome at an endpoint that has not reported any.
 	never = time.Minute
-	// exploreReserve is the number of repeats that must be left in the fleet's budget for a request to probe an endpoint.
-	// It is kept for requests whose endpoint fails unexpectedly.
-	exploreReserve = 12
+	// exploreReserve is the share of the fleet's budget that must be left for a request to probe an endpoint. The rest is
+	// kept for requests whose endpoint fails unexpectedly.
+	exploreReserve = 0.4
 	// exploreTime is the time that must be left, in units of the usual service time.
 	exploreTime = 4
 )
@@ -72,7 +72,7 @@
 	}
 	p := &pick{
 		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason, service: candidates[n].ServiceTime,
-		elsewhere: fl.bounces < maxBounces && len(usable) > len(fl.tried)+1,
+		elsewhere: fl.bounces < maxBounces && !fl.busy[usable[n].ID] && len(usable) > len(fl.tried)+1,
 	}
 	p.incarnation = f.options.Conditions.Incarnation(p.host)
 	f.recordChoice(fl, p, r, &candidates[n], len(candidates), view.Revision)
@@ -137,7 +137,8 @@
 	if time.Until(fl.request.deadline) < exploreTime*defaultService {
 		return false
 	}
-	return f.repeatsLeft(fl.request.service) >= exploreReserve
+	left, limit := f.repeats(fl.request.service)
+	return left >= exploreReserve*limit
 }
 
 func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates int, revision uint64) {
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -59,6 +59,7 @@
 	forwarder *Forwarder
 	request   *request
 	tried     map[string]bool
+	busy      map[string]bool
 	results   chan result
 	open      map[*pick]context.CancelFunc
 	newest    *pick
@@ -76,7 +77,7 @@
 // fly makes attempts until one is answered well or no further one is allowed.
 func (f *Forwarder) fly(ctx context.Context, r *request) (*answer, *outcome.Error) {
 	fl := &flight{
-		forwarder: f, request: r, tried: make(map[string]bool), open: make(map[*pick]context.CancelFunc),
+		forwarder: f, request: r, tried: make(map[string]bool), busy: make(map[string]bool), open: make(map[*pick]context.CancelFunc),
 		results: make(chan result, maxRefusals+maxRejections+r.route.Attempts+1),
 	}
 	defer fl.abandon()
@@ -116,12 +117,6 @@
 func (fl *flight) launch(ctx context.Context) bool {
 	f := fl.forwarder
 	p := f.choose(fl)
-	if p == nil && fl.bounces > 0 {
-		// All have refused as busy: the request waits at the best one.
-		clear(fl.tried)
-		fl.bounces = maxBounces
-		p = f.choose(fl)
-	}
 	if p == nil {
 		return false
 	}
@@ -190,7 +185,10 @@
 	default:
 		fl.refusals++
 		if failure.Reason == outcome.ReasonBusy {
+			// The endpoint may be chosen again, to wait there.
 			fl.bounces++
+			fl.busy[got.pick.endpoint.ID] = true
+			delete(fl.tried, got.pick.endpoint.ID)
 		}
 	}
 	// A request that may have run must not be reported as not run, whatever a later attempt says.
@@ -246,7 +244,7 @@
 
 // pay takes a repeat from the budget.
 func (fl *flight) pay() bool {
-	paid := fl.forwarder.takeRepeat(fl.request.service)
+	paid := fl.forwarder.takeRepeat(fl.request.service, fl.repeatable())
 	if !paid {
 		fl.record("no-retry", "budget")
 	}
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -76,7 +76,7 @@
 	g := gomega.NewWithT(t)
 	log, err := telemetry.NewLog(io.Discard, "json", "error")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	decisions := decision.NewRecorder(log)
+	decisions := decision.NewRecorder(log, decision.DefaultCapacity)
 	f := &fleet{owners: make(map[string]*owner.Owner)}
 	document := &config.Document{
 		Hosts:    []config.Host{{ID: "in", Address: "127.0.0.1", Zone: "z"}},
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -43,6 +43,10 @@
 	serviceAdmin      = "server.admin"
 )
 
+// decisionCapacity is the number of requests that a node can explain. It covers 20 s at 50 requests/s; the log has the
+// rest.
+const decisionCapacity = 1024
+
 // startTimeout bounds the start of all services.
 const startTimeout = 10 * time.Second
 
@@ -93,7 +97,7 @@
 		kernel:      kernel.New(),
 		life:        lifecycle.New(log.Logger()),
 		telemetry:   tele,
-		decisions:   decision.NewRecorder(log),
+		decisions:   decision.NewRecorder(log, decisionCapacity),
 	}
 	m.settings.Store(s)
 	m.peers = peer.New(peer.Options{
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -90,7 +90,7 @@
 		kernel:      kernel.New(),
 		life:        lifecycle.New(log.Logger()),
 		telemetry:   tele,
-		decisions:   decision.NewRecorder(log),
+		decisions:   decision.NewRecorder(log, decision.DefaultCapacity),
 		store:       configstore.New(log.Logger()),
 	}
 	n.suspects = newSuspects(n.clock, tele.Metrics())
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -103,7 +103,7 @@
 		Host:      "h1",
 		Backends:  map[string]string{"e1": backend.Listener.Addr().String()},
 		Claims:    claims,
-		Decisions: decision.NewRecorder(quietLog(t)),
+		Decisions: decision.NewRecorder(quietLog(t), decision.DefaultCapacity),
 		Clock:     f.clock,
 		Fresh:     func() bool { return true },
 	})
--- a/pkg/reports/path.go
+++ b/pkg/reports/path.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// quietAfter is the silence from which a path is doubted, and deadAfter that from which it counts as broken. Both are
-	// several report intervals, because single datagrams get lost.
-	quietAfter = 1300 * time.Millisecond
-	deadAfter  = 2500 * time.Millisecond
+	// A path is doubted after a silence of quietIntervals and counts as broken after deadIntervals, because single
+	// datagrams get lost.
+	quietIntervals = 2.7
+	deadIntervals  = 5
 	// Probabilities that a path is broken.
 	soundPath   = 0.002
 	unknownPath = 0.2
@@ -49,14 +49,14 @@
 	}
 }
 
-// broken returns the probability that a request over the path fails.
-func (p *path) broken(now time.Duration) float64 {
+// broken returns the probability that a request over the path fails, with reports at an interval.
+func (p *path) broken(now, interval time.Duration) float64 {
 	if !p.ever {
 		return unknownPath
 	}
-	b := silence(now - p.heardAt)
+	b := silence(now-p.heardAt, interval)
 	if p.ackEver {
-		b = max(b, silence(now-p.ackAt))
+		b = max(b, silence(now-p.ackAt, interval))
 	}
 	if p.loss > minLoss {
 		b = max(b, min(lossCost*p.loss, quietPath))
@@ -64,11 +64,11 @@
 	return b
 }
 
-func silence(age time.Duration) float64 {
-	switch {
-	case age < quietAfter:
+func silence(age, interval time.Duration) float64 {
+	switch intervals := float64(age) / float64(interval); {
+	case intervals < quietIntervals:
 		return soundPath
-	case age < deadAfter:
+	case intervals < deadIntervals:
 		return quietPath
 	default:
 		return deadPath
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -1,8 +1,14 @@
 package reports
 
-import "time"
+import (
+	"bytes"
+	"time"
 
-// Endpoint is an owner's report on its endpoint. The short names keep datagrams small.
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Endpoint is an owner's report on its endpoint. It travels in datagrams as an array and in a header of the inner hop as
+// JSON, whose short names keep it small.
 type Endpoint struct {
 	ID string `json:"i"`
 	// FailPerMille is the probability that the endpoint is failing, in thousandths.
@@ -18,30 +24,45 @@
 
 // Repeats is what a node counted for a service in the latest window of the retry budget.
 type Repeats struct {
-	Service  string  `json:"s"`
-	Requests float64 `json:"r"`
-	Repeats  float64 `json:"u,omitempty"`
+	Service  string
+	Requests int
+	Repeats  int
 }
 
-// Report is what one node tells another.
+// Report is what one node tells another. The sender's host is that of the datagram.
 type Report struct {
-	// Host is the IP number of the sender's host.
-	Host        string `json:"h"`
-	Zone        string `json:"z"`
-	Incarnation uint64 `json:"n"`
+	Zone        string
+	Incarnation uint64
 	// Sequence counts the reports to this receiver.
-	Sequence uint64 `json:"k"`
-	Leaving  bool   `json:"l,omitempty"`
+	Sequence uint64
+	Leaving  bool
 	// ConfigVersion, Revision and Digest are the sender's picture of the fleet, and StoreMS the time since the store
 	// last answered it, in milliseconds, or negative.
-	ConfigVersion uint64 `json:"c"`
-	Revision      uint64 `json:"r"`
-	Digest        uint64 `json:"d"`
-	StoreMS       int    `json:"a"`
+	ConfigVersion uint64
+	Revision      uint64
+	Digest        uint64
+	StoreMS       int `json:"a"`
 	// HeardMS is the time since the sender last heard the receiver, in milliseconds, or negative.
-	HeardMS   int        `json:"y"`
-	Endpoints []Endpoint `json:"e,omitempty"`
-	Repeats   []Repeats  `json:"b,omitempty"`
+	HeardMS   int
+	Endpoints []Endpoint
+	Repeats   []Repeats
+}
+
+// encode returns the datagram of a report.
+func (r *Report) encode() ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(r); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// decode reads a datagram.
+func (r *Report) decode(datagram []byte) error {
+	return msgpack.Unmarshal(datagram, r)
 }
 
 // Known is the latest report on an endpoint, with the time at which it was received.
--- /dev/null
+++ b/pkg/reports/reports_test.go
@@ -0,0 +1,65 @@
+package reports
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func sample() Report {
+	return Report{
+		Zone: "medeu", Incarnation: 1780483690044341060, Sequence: 400, ConfigVersion: 14, Revision: 530,
+		Digest: 0xfeedfacecafebeef, StoreMS: 20, HeardMS: 310,
+		Endpoints: []Endpoint{{ID: "i-7f3a91c2aa", FailPerMille: 213, Busy: 3, Queued: 1, Slots: 5, ServiceMS: 250, OutcomeMS: 40}},
+		Repeats:   []Repeats{{Service: "huvo11a", Requests: 90, Repeats: 4}, {Service: "wuno96b", Requests: 30}},
+	}
+}
+
+// Guards against reports that lose a field, and against datagrams that grow: bytes between zones are charged for.
+func TestReportSurvivesItsDatagram(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := sample()
+	datagram, err := r.encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var got Report
+	g.Expect(got.decode(datagram)).To(gomega.Succeed())
+	g.Expect(got).To(gomega.Equal(r))
+	g.Expect(len(datagram)).To(gomega.BeNumerically("<=", 128))
+}
+
+const every = 300 * time.Millisecond
+
+// Guards against a path that counts as sound although nothing comes back, and against one that is given up over a single
+// lost datagram.
+func TestSilenceInEitherDirectionBreaksAPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p path
+	g.Expect(p.broken(0, every)).To(gomega.Equal(unknownPath))
+	now := time.Second
+	p.heard(now, 1, true, 100)
+	g.Expect(p.broken(now+2*every, every)).To(gomega.Equal(soundPath))
+	g.Expect(p.broken(now+10*every, every)).To(gomega.Equal(deadPath))
+	// The other node is heard, but it has not heard this one for long.
+	for n := range 12 {
+		now += every
+		p.heard(now, uint64(n+2), false, 100+n*int(every/time.Millisecond))
+	}
+	g.Expect(p.broken(now, every)).To(gomega.Equal(deadPath))
+}
+
+// Guards against a lossy path that counts as sound because some datagrams arrive.
+func TestLostDatagramsCastDoubtOnAPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var sound, lossy path
+	now := time.Second
+	for n := range 60 {
+		now += every
+		sound.heard(now, uint64(n+1), n == 0, 0)
+		if n%3 != 0 {
+			lossy.heard(now, uint64(n+1), n == 1, 0)
+		}
+	}
+	g.Expect(sound.broken(now, every)).To(gomega.Equal(soundPath))
+	g.Expect(lossy.broken(now, every)).To(gomega.BeNumerically(">", 0.2))
+}
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -22,15 +21,18 @@
 	// interval is the time between reports to a host when nothing changes. otherZoneInterval is longer because bytes
 	// between zones are charged for.
 	interval          = 300 * time.Millisecond
-	otherZoneInterval = 450 * time.Millisecond
+	otherZoneInterval = 500 * time.Millisecond
+	// smallFleet is the number of hosts up to which these intervals hold. They grow in proportion beyond it, so that the
+	// bytes that a node sends do not grow with the fleet.
+	smallFleet = 40
 	// minGap is the shortest time between two rounds of urgent reports.
 	minGap = 15 * time.Millisecond
 	// tick is how often it is checked which reports are due.
 	tick = 50 * time.Millisecond
 	// forgetAfter is the silence after which a host that no endpoint is registered for is forgotten.
 	forgetAfter = 10 * time.Second
-	// liveFor is the silence up to which a host counts as a live member of the fleet.
-	liveFor = 2500 * time.Millisecond
+	// liveIntervals is the silence, in intervals, up to which a host counts as a live member of the fleet.
+	liveIntervals = 5
 	// maxDatagram bounds a report. A node has one endpoint, two while it is replaced.
 	maxDatagram = 8 << 10
 	// forever is an age that stands for "never".
@@ -71,7 +73,6 @@
 	mu        sync.Mutex
 	hosts     map[string]*host
 	endpoints map[string]*Known
-	lastRound time.Duration
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -200,11 +201,11 @@
 		return unknownPath, false
 	}
 	now := s.options.Clock.Now()
-	broken = h.path.broken(now)
+	broken = h.path.broken(now, s.interval(h))
 	if local := h.local.Probability(now); local > startingDoubt {
 		broken = 1 - (1-broken)*(1-local)
 	}
-	return broken, h.report.Leaving && now-h.path.heardAt < liveFor
+	return broken, h.report.Leaving && now-h.path.heardAt < s.liveFor(h)
 }
 
 // startingDoubt is the local probability from which failed exchanges on a path count beside the reports.
@@ -228,13 +229,13 @@
 	var sum retrybudget.Usage
 	heard := 1
 	for _, h := range s.hosts {
-		if !h.path.ever || now-h.path.heardAt > liveFor {
+		if !h.path.ever || now-h.path.heardAt > s.liveFor(h) {
 			continue
 		}
 		heard++
 		for _, r := range h.report.Repeats {
 			if r.Service == service {
-				sum = sum.Add(retrybudget.Usage{Requests: r.Requests, Repeats: r.Repeats})
+				sum = sum.Add(retrybudget.Usage{Requests: float64(r.Requests), Repeats: float64(r.Repeats)})
 			}
 		}
 	}
@@ -261,12 +262,17 @@
 	return 0
 }
 
+// liveFor is the silence up to which a host counts as live. The caller holds the lock.
+func (s *Service) liveFor(h *host) time.Duration {
+	return liveIntervals * s.interval(h)
+}
+
 // liveIn returns the live hosts of a zone, or of all zones. The caller holds the lock.
 func (s *Service) liveIn(zone string) []string {
 	now := s.options.Clock.Now()
 	ids := make([]string, 0, len(s.hosts))
 	for ip, h := range s.hosts {
-		live := h.path.ever && now-h.path.heardAt < liveFor && !h.report.Leaving
+		live := h.path.ever && now-h.path.heardAt < s.liveFor(h) && !h.report.Leaving
 		if live && (zone == "" || h.report.Zone == zone) {
 			ids = append(ids, ip)
 		}
@@ -296,7 +302,7 @@
 			return
 		}
 		var r Report
-		if err := json.Unmarshal(buffer[:n], &r); err != nil {
+		if err := r.decode(buffer[:n]); err != nil {
 			s.options.Logger.Warn("unreadable report", "from", from.String(), "error", err)
 			continue
 		}
@@ -338,7 +344,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-			time.Sleep(minGap)
+			time.Sleep(s.gap())
 		case <-ticker.C:
 		}
 		s.round()
@@ -349,7 +355,7 @@
 func (s *Service) round() {
 	var shared Report
 	s.options.Fill(&shared)
-	shared.Host, shared.Zone, shared.Incarnation = s.options.IP, s.options.Zone, s.options.Incarnation
+	shared.Zone, shared.Incarnation = s.options.Zone, s.options.Incarnation
 	type datagram struct {
 		to   netip.AddrPort
 		body []byte
@@ -373,7 +379,7 @@
 		if h.path.ever {
 			r.HeardMS = int((now - h.path.heardAt).Milliseconds())
 		}
-		if body, err := json.Marshal(r); err == nil {
+		if body, err := r.encode(); err == nil {
 			due = append(due, datagram{h.address, body})
 		}
 	}
@@ -388,9 +394,26 @@
 	if h.urgent || h.sentAt == 0 {
 		return true
 	}
+	return now-h.sentAt >= s.interval(h)
+}
+
+// interval is the time between reports to or from a host. The caller holds the lock.
+func (s *Service) interval(h *host) time.Duration {
 	every := interval
 	if h.path.ever && h.report.Zone != s.options.Zone {
 		every = otherZoneInterval
 	}
-	return now-h.sentAt >= every
+	return time.Duration(float64(every) * s.stretch())
+}
+
+// stretch is the factor by which intervals grow with the fleet. The caller holds the lock.
+func (s *Service) stretch() float64 {
+	return max(1, float64(len(s.hosts))/smallFleet)
+}
+
+// gap is the time for which urgent reports are collected.
+func (s *Service) gap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(float64(minGap) * s.stretch())
 }
