--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -196,7 +196,7 @@
 	} else {
 		response.OnClose(func() { d.inFlight.Add(-1) })
 	}
-	d.record(r, failure)
+	d.record(r, response, failure)
 	return response, failure
 }
 
@@ -252,15 +252,18 @@
 	return outcome.Lose(http.StatusBadGateway, outcome.ReasonVoided, stepAdmit, r.Endpoint, nil)
 }
 
-func (d *Dispatcher) record(r *Request, failure *outcome.Error) {
+func (d *Dispatcher) record(r *Request, response *transport.Response, failure *outcome.Error) {
 	entry := decision.Decision{
 		RequestID: r.RequestID, Step: stepDispatch, Service: r.Service, Route: r.Route, Taken: r.Endpoint,
 		Outcome: string(outcome.Answered), Reason: "admitted",
 	}
+	if response != nil {
+		entry.Inputs = map[string]any{"status": response.Head.StatusCode(), "attempt": r.Attempt}
+	}
 	if failure != nil {
 		entry.Step, entry.Outcome, entry.Reason = failure.Step, string(failure.Outcome), string(failure.Reason)
 		if failure.Err != nil {
-			entry.Inputs = map[string]any{"error": failure.Err.Error()}
+			entry.Inputs = map[string]any{"error": failure.Err.Error(), "attempt": r.Attempt}
 		}
 	}
 	d.options.Decisions.Record(entry)
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -11,6 +11,7 @@
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -333,11 +334,22 @@
 // between good and doubtful. The caller holds the lock.
 func (e *endpoint) shifted(now time.Duration) bool {
 	p := e.filter.Probability(now)
-	crossed := (p >= doubt) != (e.told >= doubt)
-	if crossed {
-		e.told = p
+	if (p >= doubt) == (e.told >= doubt) {
+		return false
 	}
-	return crossed
+	result := "trusted"
+	if p >= doubt {
+		result = "doubted"
+	}
+	e.dispatcher.options.Decisions.Record(decision.Decision{
+		Step: stepHealth, Service: e.service, Taken: e.id, Outcome: result, Reason: "outcomes",
+		Inputs: map[string]any{
+			"fail": p, "before": e.told, "outcome_age_ms": (now - e.outcome).Milliseconds(), "open": len(e.running),
+			"service_ms": e.mean.Milliseconds(),
+		},
+	})
+	e.told = p
+	return true
 }
 
 // peersMean is the usual service time of the other endpoints. The caller holds the lock.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -106,7 +106,7 @@
 	})
 	m.reports = reports.New(reports.Options{
 		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
-		Fill: m.fillReport, Observe: m.observeReport,
+		Decisions: m.decisions, Fill: m.fillReport, Observe: m.observeReport,
 	})
 	m.discovery = discovery.New(discovery.Options{
 		Store: site.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
--- a/pkg/reports/path.go
+++ b/pkg/reports/path.go
@@ -17,8 +17,8 @@
 	// lossCost turns the share of lost datagrams into a probability that a request fails or is late: each request takes
 	// several packets.
 	lossCost = 1.5
-	// minLoss is the estimate below which losses are ordinary.
-	minLoss = 0.04
+	// minLoss is the estimate below which losses are ordinary. A single lost datagram stays below it.
+	minLoss = 0.1
 )
 
 // path is what is known about the way to and from one host.
@@ -27,9 +27,8 @@
 	ever     bool
 	sequence uint64
 	loss     float64
-	// ackAt is the time at which the other node last heard this one, as far as its reports tell.
-	ackAt   time.Duration
-	ackEver bool
+	// unheard is for how long the other node had not heard this one at its latest report, or negative if it never had.
+	unheard time.Duration
 }
 
 // heard records a report.
@@ -44,9 +43,7 @@
 	}
 	p.sequence = sequence
 	p.heardAt, p.ever = now, true
-	if heardMS >= 0 {
-		p.ackAt, p.ackEver = max(p.ackAt, now-time.Duration(heardMS)*time.Millisecond), true
-	}
+	p.unheard = time.Duration(heardMS) * time.Millisecond
 }
 
 // broken returns the probability that a request over the path fails, with reports at an interval.
@@ -54,10 +51,7 @@
 	if !p.ever {
 		return unknownPath
 	}
-	b := silence(now-p.heardAt, interval)
-	if p.ackEver {
-		b = max(b, silence(now-p.ackAt, interval))
-	}
+	b := max(silence(now-p.heardAt, interval), silence(p.unheard, interval))
 	if p.loss > minLoss {
 		b = max(b, min(lossCost*p.loss, quietPath))
 	}
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -46,6 +46,9 @@
 		p.heard(now, uint64(n+2), false, 100+n*int(every/time.Millisecond))
 	}
 	g.Expect(p.broken(now, every)).To(gomega.Equal(deadPath))
+	// Both send every interval, so what the other tells is up to an interval old by itself.
+	p.heard(now+every, 14, false, int(every/time.Millisecond))
+	g.Expect(p.broken(now+2*every, every)).To(gomega.Equal(soundPath))
 }
 
 // Guards against a lossy path that counts as sound because some datagrams arrive.
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -14,6 +14,7 @@
 	"agatepulley.example/agatepulley/core/membership"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/kernel"
 )
 
@@ -35,6 +36,8 @@
 	liveIntervals = 5
 	// maxDatagram bounds a report. A node has one endpoint, two while it is replaced.
 	maxDatagram = 8 << 10
+	// stepPath names decisions on paths in the log.
+	stepPath = "path"
 	// forever is an age that stands for "never".
 	forever = time.Hour
 )
@@ -47,6 +50,7 @@
 	Incarnation uint64
 	Clock       clock.Clock
 	Logger      *slog.Logger
+	Decisions   *decision.Recorder
 	// Fill adds what the node knows to a report.
 	Fill func(*Report)
 	// Observe is called with each report and the peer address of its sender.
@@ -62,6 +66,8 @@
 	sequence uint64
 	sentAt   time.Duration
 	urgent   bool
+	// lost is set while the path counts as broken.
+	lost bool
 }
 
 // Service exchanges reports with the nodes of the fleet. It is safe for concurrent use.
@@ -368,6 +374,7 @@
 			delete(s.hosts, ip)
 			continue
 		}
+		s.watchPath(now, ip, h)
 		if !s.due(now, h) {
 			continue
 		}
@@ -390,6 +397,25 @@
 	}
 }
 
+// watchPath logs when a host is lost or regained. The caller holds the lock.
+func (s *Service) watchPath(now time.Duration, ip string, h *host) {
+	broken := h.path.broken(now, s.interval(h))
+	if lost := broken >= quietPath; h.path.ever && lost != h.lost {
+		h.lost = lost
+		result := "regained"
+		if lost {
+			result = "lost"
+		}
+		s.options.Decisions.Record(decision.Decision{
+			Step: stepPath, Peer: ip, Outcome: result, Reason: "reports",
+			Inputs: map[string]any{
+				"broken": broken, "heard_ms": (now - h.path.heardAt).Milliseconds(), "unheard_ms": h.path.unheard.Milliseconds(),
+				"loss": h.path.loss,
+			},
+		})
+	}
+}
+
 func (s *Service) due(now time.Duration, h *host) bool {
 	if h.urgent || h.sentAt == 0 {
 		return true
