Send configurations between nodes as compressed deltas, from the own zone first

Replies are changes to the version that the caller has, compressed and kept; a node waits 250 ms for its own zone before it asks another one; only what was read from the store is announced at once.

--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -90,3 +90,29 @@
 		g.Expect(err.Error()).To(gomega.ContainSubstring(part))
 	}
 }
+
+// Guards against a node that serves other routes than those of the version it claims, because it applied the changes
+// instead of reading the whole.
+func TestDeltaLeadsToTheLaterVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		version := rapid.Custom(func(t *rapid.T) *routing.Config {
+			c := &routing.Config{Version: rapid.Uint64Range(1, 5).Draw(t, "version"), Services: []routing.Service{{Name: "s"}}}
+			for _, name := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), rapid.ID[string]).Draw(t, "names") {
+				r := route("h", "/"+name+"/", routing.Target{Service: "s", Weight: rapid.IntRange(1, 2).Draw(t, "weight")})
+				r.Name = name
+				c.Routes = append(c.Routes, r)
+			}
+			return c
+		})
+		from, to := version.Draw(t, "from"), version.Draw(t, "to")
+		got, err := routing.Diff(from, to).Apply(from)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.Version).To(gomega.Equal(to.Version))
+		g.Expect(got.Routes).To(gomega.ConsistOf(to.Routes))
+		other := *from
+		other.Version = from.Version + 1
+		_, err = routing.Diff(from, to).Apply(&other)
+		g.Expect(err).To(gomega.MatchError(routing.ErrWrongBase))
+	})
+}
--- a/pkg/discovery/doc.go
+++ b/pkg/discovery/doc.go
@@ -6,6 +6,6 @@
 // further nodes begin to read, staggered by their rank, so that a store that turns some nodes away is still read by the
 // others. Versions only move forward, whatever the source.
 //
-// store.go defines the interface to the store, service.go the state and what nodes tell each other, readers.go the duties
-// that read.
+// store.go defines the interface to the store, service.go the state and what nodes tell each other, transfer.go how a
+// configuration travels between them, readers.go the duties that read.
 package discovery
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -96,7 +96,7 @@
 			s.noteInvalid(read.Invalid)
 		}
 		if read.Config != nil {
-			s.Offer(read.Config, "store")
+			s.Offer(read.Config, SourceStore)
 		}
 		revision, asked = max(revision, read.Revision), true
 	}
@@ -157,7 +157,7 @@
 	for _, invalid := range read.Invalid {
 		s.noteInvalid(invalid)
 	}
-	s.update("store", func(g *registry.Registry, now time.Duration) []registry.Change {
+	s.update(SourceStore, func(g *registry.Registry, now time.Duration) []registry.Change {
 		if position > 0 {
 			return g.Apply(now, read.Snapshot)
 		}
@@ -170,7 +170,7 @@
 func (s *Service) expire(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, expirePeriod)
-		s.update("store", func(g *registry.Registry, now time.Duration) []registry.Change { return g.Expire(now) })
+		s.update(SourceStore, func(g *registry.Registry, now time.Duration) []registry.Change { return g.Expire(now) })
 	}
 }
 
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -23,6 +23,9 @@
 	methodEndpoints     = "discovery.endpoints"
 )
 
+// SourceStore names the store as the source of a change.
+const SourceStore = "store"
+
 // Steps in decision lines.
 const (
 	stepConfiguration = "configuration"
@@ -57,8 +60,9 @@
 	Decisions *decision.Recorder
 	Logger    *slog.Logger
 	// ConfigChanged and EndpointsChanged are called after a change has taken effect.
-	ConfigChanged    func(*routing.Table)
-	EndpointsChanged func(*registry.View, []registry.Change)
+	// The source is SourceStore or the address of a peer.
+	ConfigChanged    func(t *routing.Table, source string)
+	EndpointsChanged func(view *registry.View, source string)
 }
 
 // Service holds the configuration in force and the registered endpoints. It is safe for concurrent use.
@@ -74,6 +78,10 @@
 	revision atomic.Uint64
 	pulling  map[string]bool
 	invalid  map[string]bool
+	// versions are the latest configurations, the one in force last, and replies what was sent of that one, by the version
+	// that it starts from.
+	versions []*routing.Config
+	replies  map[uint64]*configurationReply
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -86,6 +94,7 @@
 		registry: registry.New(),
 		pulling:  make(map[string]bool),
 		invalid:  make(map[string]bool),
+		replies:  make(map[uint64]*configurationReply),
 	}
 	s.view.Store(s.registry.View())
 	options.Network.Handle(methodConfiguration, s.serveConfiguration)
@@ -142,12 +151,13 @@
 	}
 	table := routing.NewTable(c)
 	s.table.Store(table)
+	s.remember(c)
 	s.mu.Unlock()
 	s.options.Decisions.Record(decision.Decision{
 		Step: stepConfiguration, Taken: fmt.Sprint(c.Version), Peer: source, Outcome: "adopted", Reason: "newer-version",
 		Inputs: map[string]any{"routes": len(c.Routes), "before": versionOf(current)},
 	})
-	s.options.ConfigChanged(table)
+	s.options.ConfigChanged(table, source)
 }
 
 func versionOf(t *routing.Table) uint64 {
@@ -157,52 +167,63 @@
 	return t.Version()
 }
 
-// ObservePeer compares the summary of another node with the own picture and fetches what is newer.
-func (s *Service) ObservePeer(address string, summary Summary) {
-	if summary.ConfigVersion > versionOf(s.table.Load()) {
-		s.pull(methodConfiguration, address, s.pullConfiguration)
+// ObservePeer compares the summary of another node with the own picture and fetches what is newer. Nodes of other zones
+// are asked only if none of the own zone has it soon, so that a change travels between zones a few times only and no
+// single node has to send it to all others.
+func (s *Service) ObservePeer(address string, near bool, summary Summary) {
+	if s.behindConfiguration(summary) {
+		s.pull(methodConfiguration, address, near, s.pullConfiguration, func() bool { return s.behindConfiguration(summary) })
 	}
-	if summary.Digest != s.digest.Load() && summary.Revision > s.revision.Load() {
-		s.pull(methodEndpoints, address, s.pullEndpoints)
+	if s.behindEndpoints(summary) {
+		s.pull(methodEndpoints, address, near, s.pullEndpoints, func() bool { return s.behindEndpoints(summary) })
 	}
 }
 
-// pull runs one fetch of a kind at a time.
-func (s *Service) pull(method, address string, fetch func(ctx context.Context, address string) error) {
+func (s *Service) behindConfiguration(summary Summary) bool {
+	return summary.ConfigVersion > versionOf(s.table.Load())
+}
+
+func (s *Service) behindEndpoints(summary Summary) bool {
+	return summary.Digest != s.digest.Load() && summary.Revision > s.revision.Load()
+}
+
+const (
+	// pullTimeout bounds a fetch from a peer, so that a dead one does not hold up the next.
+	pullTimeout = time.Second
+	// farDelay is how long a node waits for the news from its own zone.
+	farDelay = 250 * time.Millisecond
+)
+
+// pull runs one fetch of a kind from near peers, and one from far ones, at a time.
+func (s *Service) pull(method, address string, near bool, fetch func(ctx context.Context, address string) error, wanted func() bool) {
+	kind := method
+	if !near {
+		kind += ".far"
+	}
 	s.mu.Lock()
-	busy := s.pulling[method]
-	s.pulling[method] = true
+	busy := s.pulling[kind]
+	s.pulling[kind] = true
 	s.mu.Unlock()
 	if busy {
 		return
 	}
 	s.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout+farDelay)
 		defer cancel()
-		if err := fetch(ctx, address); err != nil {
-			s.options.Logger.Warn("fetch from peer failed", "method", method, "peer", address, "error", err)
+		if !near {
+			sleep(ctx, farDelay)
+		}
+		if wanted() {
+			if err := fetch(ctx, address); err != nil {
+				s.options.Logger.Warn("fetch from peer failed", "method", method, "peer", address, "error", err)
+			}
 		}
 		s.mu.Lock()
-		s.pulling[method] = false
+		s.pulling[kind] = false
 		s.mu.Unlock()
 	})
 }
 
-// pullTimeout bounds a fetch from a peer, so that a dead one does not hold up the next.
-const pullTimeout = 600 * time.Millisecond
-
-func (s *Service) pullConfiguration(ctx context.Context, address string) error {
-	var c routing.Config
-	if err := s.options.Network.Call(ctx, address, methodConfiguration, struct{}{}, &c); err != nil {
-		return err
-	}
-	if err := c.Validate(); err != nil {
-		return fmt.Errorf("configuration of peer %s: %w", address, err)
-	}
-	s.Offer(&c, address)
-	return nil
-}
-
 func (s *Service) pullEndpoints(ctx context.Context, address string) error {
 	var snapshot registry.Snapshot
 	if err := s.options.Network.Call(ctx, address, methodEndpoints, struct{}{}, &snapshot); err != nil {
@@ -212,14 +233,6 @@
 	return nil
 }
 
-func (s *Service) serveConfiguration(context.Context, string, json.RawMessage) (any, error) {
-	t := s.table.Load()
-	if t == nil {
-		return nil, ErrNoConfiguration
-	}
-	return t.Config(), nil
-}
-
 func (s *Service) serveEndpoints(context.Context, string, json.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -245,7 +258,7 @@
 	for _, c := range changes {
 		s.record(source, c)
 	}
-	s.options.EndpointsChanged(view, changes)
+	s.options.EndpointsChanged(view, source)
 }
 
 func (s *Service) record(source string, c registry.Change) {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -193,22 +193,30 @@
 	return m.discovery.Table()
 }
 
-func (m *Member) configChanged(*routing.Table) {
+func (m *Member) configChanged(_ *routing.Table, source string) {
 	if m.life.State() == lifecycle.Joining {
 		m.life.Fire(lifecycle.Joined)
 	}
-	m.reports.Notify()
+	m.spread(source)
+}
+
+// spread tells the other nodes at once of what this one has read itself. What came from a peer follows with the next
+// reports, so that a change does not make each node report to each other one.
+func (m *Member) spread(source string) {
+	if source == discovery.SourceStore {
+		m.reports.Notify()
+	}
 }
 
 // endpointsChanged follows a change of the registered endpoints.
-func (m *Member) endpointsChanged(view *registry.View, _ []registry.Change) {
+func (m *Member) endpointsChanged(view *registry.View, source string) {
 	hosts := make([]string, 0, len(view.ByHost))
 	for ip := range view.ByHost {
 		hosts = append(hosts, ip)
 	}
 	m.reports.SetHosts(hosts)
 	m.dispatcher.Update(view)
-	m.reports.Notify()
+	m.spread(source)
 }
 
 func (m *Member) peerAddress(ip string) string {
--- a/pkg/member/network.go
+++ b/pkg/member/network.go
@@ -94,7 +94,7 @@
 
 // observeReport compares the sender's picture of the fleet with this node's.
 func (m *Member) observeReport(peerAddress string, r *reports.Report) {
-	m.discovery.ObservePeer(peerAddress, discovery.Summary{
+	m.discovery.ObservePeer(peerAddress, r.Zone == m.settings.Load().Zone, discovery.Summary{
 		ConfigVersion: r.ConfigVersion, Revision: r.Revision, Digest: r.Digest,
 		StoreContact: time.Duration(r.StoreMS) * time.Millisecond,
 	})
