Wait for the admin server to run before it can be stopped

Cause: a node that stopped within milliseconds of its start closed the listener before the HTTP engine ran, and the engine then refused to shut down ('engine is not running'); seen in one of six runs of ./platform.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -61,16 +61,23 @@
 	)
 	s.routes()
 	go s.serve()
+	return s.waitRunning(ctx)
+}
+
+// waitRunning waits until the engine runs, since one that does not cannot be shut down.
+func (s *Server) waitRunning(ctx context.Context) error {
+	for !s.hertz.IsRunning() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
 	return nil
 }
 
 // Stop closes the listener and waits briefly for requests in progress.
 func (s *Server) Stop(ctx context.Context) error {
-	// The engine closes the listener only if it is running already, which it may not be right after Start.
-	closeErr := s.listener.Close()
-	if !s.hertz.IsRunning() {
-		return closeErr
-	}
 	if err := s.hertz.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down admin server: %w", err)
 	}
