Bound what a node keeps of endpoints that have gone, leave time for the end of a stop

Cause, found by reading: connections to hosts without an endpoint, reports on endpoints and the state of endpoints that were never listed stayed for the life of the process; a stop that waited for its limit left 0.6 s for closing and was killed at the end of the grace time ('2 processes were still there'); an answer to a body that was not read to its end kept the caller's connection.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -165,7 +165,7 @@
 		switch listed := view.ByID[id]; {
 		case listed != nil:
 			e.configure(listed)
-		case view.Removed[id] && e.idle():
+		case e.idle():
 			delete(d.endpoints, id)
 		}
 	}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -149,11 +149,21 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			f.mu.Lock()
-			for _, pool := range f.pools {
-				pool.Maintain(now)
-			}
-			f.mu.Unlock()
+			f.maintainPools(now)
+		}
+	}
+}
+
+// maintainPools closes connections that were not used for long, and all to hosts without an endpoint.
+func (f *Forwarder) maintainPools(now time.Time) {
+	hosts := f.options.View().ByHost
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for ip, pool := range f.pools {
+		pool.Maintain(now)
+		if len(hosts[ip]) == 0 {
+			pool.Close()
+			delete(f.pools, ip)
 		}
 	}
 }
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -116,7 +115,7 @@
 	body, err := relay.ReadBody(c, bodyPrefixBytes, orDefault(limits.BodyBytes, defaultBodyBytes), orDefault(limits.HeaderTimeout, defaultReadTimeout))
 	if err != nil {
 		c.SetConnectionClose()
-		return r, bodyFailure(err)
+		return r, relay.BodyFailure(stepBody, err)
 	}
 	r.body = body
 	r.head = relay.RequestHead(&c.Request)
@@ -142,24 +141,16 @@
 	return value
 }
 
-func bodyFailure(err error) *outcome.Error {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, relay.ErrBodyTooLarge):
-		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge, stepBody, "", err)
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonBodyTimeout, stepBody, "", err)
-	default:
-		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, "", err)
-	}
-}
-
 // respond passes an answer on.
 func (f *Forwarder) respond(c *app.RequestContext, r *request, a *answer) {
 	defer a.close()
 	relay.CopyResponseHead(&c.Response, a.response.Head)
 	c.Response.Header.Del(outcome.HeaderRequestID)
 	f.identify(c)
+	if !r.body.Whole() {
+		// The endpoint may have answered before it read the rest of the body, which must not be taken for a request.
+		c.SetConnectionClose()
+	}
 	var err error
 	if a.whole {
 		c.Response.SetBody(a.prefix)
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -134,7 +133,7 @@
 	body, err := relay.ReadBody(c, bodyPrefixBytes, route.MaxBodyBytes, bodyReadTimeout)
 	if err != nil {
 		c.SetConnectionClose()
-		return nil, bodyFailure(err)
+		return nil, relay.BodyFailure(stepBody, err)
 	}
 	head := relay.RequestHead(&c.Request)
 	return &request{
@@ -165,18 +164,6 @@
 	return outcome.Refuse(http.StatusBadRequest, reason, stepAccept, "", err)
 }
 
-func bodyFailure(err error) *outcome.Error {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, relay.ErrBodyTooLarge):
-		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge, stepBody, "", err)
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonBodyTimeout, stepBody, "", err)
-	default:
-		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, stepBody, "", err)
-	}
-}
-
 // respond passes the answer on.
 func (i *Ingress) respond(c *app.RequestContext, r *request, a *answer) {
 	defer a.close()
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -13,7 +13,7 @@
 	// stopQuiet is how long no request must be in flight before the listeners close.
 	stopQuiet = 150 * time.Millisecond
 	// stopReserve is the part of the stop timeout that is left for the release of resources.
-	stopReserve = 600 * time.Millisecond
+	stopReserve = time.Second
 )
 
 // errStopTimeout is returned when requests were still in flight shortly before the end of the stop timeout.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -162,6 +164,19 @@
 	return &Body{Prefix: prefix, Rest: reader, Length: length}, nil
 }
 
+// BodyFailure returns the refusal of a request whose body could not be read.
+func BodyFailure(step string, err error) *outcome.Error {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, ErrBodyTooLarge):
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge, step, "", err)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonBodyTimeout, step, "", err)
+	default:
+		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBodyCut, step, "", err)
+	}
+}
+
 // Whole reports whether the body is in memory, so that it can be sent more than once.
 func (b *Body) Whole() bool {
 	return b.Rest == nil
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -119,6 +119,12 @@
 func (s *Service) SetHosts(ips []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	for id, known := range s.endpoints {
+		if now-known.At > forgetAfter {
+			delete(s.endpoints, id)
+		}
+	}
 	for _, h := range s.hosts {
 		h.listed = false
 	}
