Serve only once the endpoints are known as well as the configuration

Ruled out: the stand-ins; the log shows 'no-endpoint' 40 ms before the endpoints arrive. Test: 'is not ready before it knows the endpoints', failing before, passing after.

--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -123,6 +123,11 @@
 	return s.table.Load()
 }
 
+// Complete reports whether the node knows a configuration and has read or been told the endpoints.
+func (s *Service) Complete() bool {
+	return s.table.Load() != nil && s.revision.Load() > 0
+}
+
 // View returns the registered endpoints.
 func (s *Service) View() *registry.View {
 	return s.view.Load()
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -178,25 +179,38 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	m.life.Fire(lifecycle.Started)
-	if m.discovery.Table() != nil {
-		m.life.Fire(lifecycle.Joined)
-	}
-	reloads := make(chan struct{})
-	go m.watchSettings(ctx, reloads)
+	var duties sync.WaitGroup
+	duties.Go(func() { m.join(ctx) })
+	duties.Go(func() { m.watchSettings(ctx) })
 	<-ctx.Done()
-	<-reloads
+	duties.Wait()
 	return m.stop()
 }
 
+// joinPoll is how often a node that starts checks whether it can serve.
+const joinPoll = 20 * time.Millisecond
+
+// join lets the node serve once it knows both the configuration and the endpoints. One of them alone would make it
+// refuse requests that other nodes can serve.
+func (m *Member) join(ctx context.Context) {
+	ticker := time.NewTicker(joinPoll)
+	defer ticker.Stop()
+	for !m.discovery.Complete() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	m.life.Fire(lifecycle.Joined)
+}
+
 // table returns the configuration in force.
 func (m *Member) table() *routing.Table {
 	return m.discovery.Table()
 }
 
 func (m *Member) configChanged(_ *routing.Table, source string) {
-	if m.life.State() == lifecycle.Joining {
-		m.life.Fire(lifecycle.Joined)
-	}
 	m.spread(source)
 }
 
@@ -229,8 +243,7 @@
 )
 
 // watchSettings takes over changed settings until the context ends.
-func (m *Member) watchSettings(ctx context.Context, done chan<- struct{}) {
-	defer close(done)
+func (m *Member) watchSettings(ctx context.Context) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	var lastErr string
