Refuse headers above the published limit

Cause: only the HTTP server's own limit of 64 KB held, above the published one. Test: a request above each published size limit is refused with 431 or 413, and one just below passes whole.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -29,6 +29,7 @@
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonNoRoute         Reason = "no-route"
 	ReasonMethod          Reason = "method-not-allowed"
+	ReasonHeaderTooLarge  Reason = "header-too-large"
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonBodyTimeout     Reason = "body-timeout"
 	ReasonKeyRequired     Reason = "key-required"
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -95,6 +95,10 @@
 		c.SetConnectionClose()
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, stepAccept, "", nil)
 	}
+	if limit := table.Limits().HeaderBytes; limit > 0 && len(c.Request.Header.RawHeaders()) > limit {
+		c.SetConnectionClose()
+		return nil, outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonHeaderTooLarge, stepAccept, "", nil)
+	}
 	if err := relay.CheckFraming(&c.Request.Header); err != nil {
 		c.SetConnectionClose()
 		return nil, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepAccept, "", err)
