Wait in one place, report an endpoint's condition once a response, drop an unused setting

Found by reading the whole change: pkg/discovery had a copy of the interruptible wait of pkg/decision, which is now clock.Sleep; an answered attempt of the inner hop computed and encoded the endpoint's report twice; the store's rate was read from the settings and used nowhere. Behaviour is unchanged.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -79,3 +80,16 @@
 	}
 	return gap
 }
+
+// Sleep waits until the time has passed or the context is done.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/pkg/decision/decision.go
+++ b/pkg/decision/decision.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/ring"
 )
@@ -141,7 +142,7 @@
 			return
 		}
 		r.write(d)
-		sleep(ctx, batchPeriod)
+		clock.Sleep(ctx, batchPeriod)
 		r.drain()
 	}
 }
@@ -159,15 +160,6 @@
 	_ = r.log.Flush()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // write logs a decision. Fields that do not apply are left out, so that lines stay short.
 func (r *Recorder) write(d Decision) {
 	attrs := make([]slog.Attr, 0, maxAttrs)
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 )
 
@@ -71,7 +72,7 @@
 	asked := false
 	for ctx.Err() == nil {
 		if asked && !s.shouldRead() {
-			sleep(ctx, idlePoll)
+			clock.Sleep(ctx, idlePoll)
 			continue
 		}
 		read, err := s.nextConfiguration(ctx, revision)
@@ -82,11 +83,11 @@
 		case errors.Is(err, ErrNoConfiguration):
 			s.storeAnswered()
 			asked = true
-			sleep(ctx, unpublishedPoll)
+			clock.Sleep(ctx, unpublishedPoll)
 			continue
 		case err != nil:
 			s.storeFailed(ctx, err)
-			sleep(ctx, backoff)
+			clock.Sleep(ctx, backoff)
 			backoff = min(backoff*2, maxBackoff)
 			continue
 		}
@@ -118,7 +119,7 @@
 	read := false
 	for ctx.Err() == nil {
 		if read && !s.shouldRead() {
-			sleep(ctx, idlePoll)
+			clock.Sleep(ctx, idlePoll)
 			position = s.revision.Load()
 			continue
 		}
@@ -131,13 +132,13 @@
 			continue
 		case err != nil:
 			s.storeFailed(ctx, err)
-			sleep(ctx, backoff)
+			clock.Sleep(ctx, backoff)
 			backoff = min(backoff*2, maxBackoff)
 			continue
 		}
 		backoff = firstBackoff
 		position, read = max(position, next), true
-		sleep(ctx, endpointsInterval-(s.options.Clock.Now()-begin))
+		clock.Sleep(ctx, endpointsInterval-(s.options.Clock.Now()-begin))
 	}
 }
 
@@ -169,7 +170,7 @@
 // expire removes entries whose removal was held back.
 func (s *Service) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expirePeriod)
+		clock.Sleep(ctx, expirePeriod)
 		s.update(SourceStore, func(g *registry.Registry, now time.Duration) []registry.Change { return g.Expire(now) })
 	}
 }
@@ -222,15 +223,3 @@
 		s.options.Logger.Warn("unreadable value in the store", "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -216,7 +216,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout+farDelay)
 		defer cancel()
 		if !near {
-			sleep(ctx, farDelay)
+			clock.Sleep(ctx, farDelay)
 		}
 		if wanted() {
 			if err := fetch(ctx, address); err != nil {
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -43,8 +43,8 @@
 	defer relay.WatchDisconnect(c, body)()
 	request := &Request{Meta: *meta, Transport: BackendRequest(relay.RequestHead(&c.Request), body)}
 	response, failure := d.Do(ctx, request)
-	d.report(c, meta.Endpoint)
 	if failure != nil {
+		d.report(c, meta.Endpoint)
 		if !body.Whole() {
 			c.SetConnectionClose()
 		}
--- a/pkg/member/settings.go
+++ b/pkg/member/settings.go
@@ -22,8 +22,6 @@
 	Service        string
 
 	StoreAddress string
-	// StoreReadsPerSec is the number of calls that the store takes from all nodes together.
-	StoreReadsPerSec int
 
 	// StopTimeout is the time after which the platform kills a process that was asked to stop, and StopNotice the time
 	// for which callers may still come although the node says that it is not ready.
