Do not let endpoints that fail fast attract requests

The mean service time was also drawn to a few milliseconds by tiny requests, so that fast looking endpoints were chosen at random. Ruled out: the restarts of nodes (the same rates before and after them), paths (probabilities below 0.01). Change: a request that fails is charged the usual service time of the candidates; a request weighs in the mean of an endpoint in proportion to its duration.

--- /dev/null
+++ b/bench/soak/faults.go
@@ -0,0 +1,314 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"agatepulley.example/agatepulley/platform/platformtest"
+	"agatepulley.example/agatepulley/standin/link"
+)
+
+const (
+	// meanGap is the mean time between the starts of two faults. Faults last longer than that, so they overlap.
+	meanGap  = 400 * time.Millisecond
+	minFault = 200 * time.Millisecond
+	maxFault = 3 * time.Second
+	// series is how often the same fault strikes in a row at the most.
+	series = 3
+	// drainTime is how long an endpoint serves after its entry says that it drains, and reuseAfter how long its address
+	// stays unused.
+	drainTime  = 2 * time.Second
+	reuseAfter = 2 * time.Second
+	stopLimit  = 8 * time.Second
+	slowStore  = 300 * time.Millisecond
+	delayMS    = 40
+)
+
+// everyone stands for all hosts in a disturbance.
+const everyone = 0
+
+// disturbance is a time in which a fault was in force on a host, or on all.
+type disturbance struct {
+	host     int
+	planned  bool
+	what     string
+	from, to time.Time
+}
+
+// departure is an endpoint that said that it leaves.
+type departure struct {
+	endpoint string
+	host     int
+	at       time.Time
+}
+
+// faults injects faults and keeps when they were in force.
+type faults struct {
+	fleet *fleet
+	rng   *rand.Rand
+	say   func(format string, args ...any)
+
+	mu           sync.Mutex
+	disturbances []*disturbance
+	departures   []departure
+	published    map[int]time.Time
+	version      int
+	// busy holds the hosts whose process or endpoint a fault is working on.
+	busy  map[string]bool
+	errs  []error
+	tasks sync.WaitGroup
+}
+
+func newFaults(f *fleet, seed uint64, say func(string, ...any)) *faults {
+	return &faults{
+		fleet: f, rng: rand.New(rand.NewPCG(seed, 2)), say: say, busy: make(map[string]bool), published: make(map[int]time.Time),
+	}
+}
+
+// publish puts the next version in the store. Each version has a route of its own.
+func (x *faults) publish() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.version++
+	routes := append(stableRoutes(), platformtest.Route{Prefix: markerPrefix(x.version), Kind: "safe", Service: serviceDesk})
+	x.fleet.store.Publish(x.version, routes...)
+	x.published[x.version] = time.Now()
+}
+
+func (x *faults) latest() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.version
+}
+
+// begin records that a fault starts. The returned function records its end.
+func (x *faults) begin(host int, planned bool, what string) func() {
+	d := &disturbance{host: host, planned: planned, what: what, from: time.Now()}
+	x.mu.Lock()
+	x.disturbances = append(x.disturbances, d)
+	x.mu.Unlock()
+	x.say("%s, host %d", what, host)
+	return func() {
+		x.mu.Lock()
+		d.to = time.Now()
+		x.mu.Unlock()
+		x.say("end of %s, host %d", what, host)
+	}
+}
+
+// claim reserves a part of a host for one fault at a time.
+func (x *faults) claim(part string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[part] {
+		return false
+	}
+	x.busy[part] = true
+	return true
+}
+
+func (x *faults) release(part string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.busy[part] = false
+}
+
+func (x *faults) fail(err error) {
+	if err == nil {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.errs = append(x.errs, err)
+}
+
+// action is one kind of fault: what it works on and how it strikes for a time.
+type action struct {
+	name   string
+	part   string
+	strike func(x *faults, h *host, hold time.Duration, variant int)
+}
+
+var actions = []action{
+	{"kill", "process", (*faults).kill},
+	{"planned stop", "process", (*faults).stopPlanned},
+	{"freeze", "process", (*faults).freeze},
+	{"hangup", "process", (*faults).hangup},
+	{"link between nodes", "hop", func(x *faults, h *host, hold time.Duration, v int) { x.disturbLink(h, h.hop, "hop", hold, v) }},
+	{"link to the endpoint", "app", func(x *faults, h *host, hold time.Duration, v int) { x.disturbLink(h, h.app, "app", hold, v) }},
+	{"link to the store", "store", func(x *faults, h *host, hold time.Duration, v int) { x.disturbLink(h, h.store, "store", hold, v) }},
+	{"store", "platform", (*faults).disturbStore},
+	{"endpoint misbehaves", "endpoint", (*faults).misbehave},
+	{"endpoint leaves", "endpoint", (*faults).replace},
+	{"endpoint crashes", "endpoint", (*faults).crash},
+	{"configuration", "configuration", func(x *faults, _ *host, _ time.Duration, _ int) { x.publish() }},
+}
+
+// play starts faults at random until the context ends, and waits until all have ended.
+func (x *faults) play(ctx context.Context) {
+	for ctx.Err() == nil {
+		gap := time.Duration(x.rng.ExpFloat64() * float64(meanGap))
+		a := actions[x.rng.IntN(len(actions))]
+		h := x.fleet.hosts[x.rng.IntN(len(x.fleet.hosts))]
+		hold := minFault + time.Duration(x.rng.Float64()*float64(maxFault-minFault))
+		variant, strikes := x.rng.IntN(1<<16), 1+x.rng.IntN(series)
+		select {
+		case <-ctx.Done():
+		case <-time.After(gap):
+			x.tasks.Go(func() { x.strike(ctx, a, h, hold, variant, strikes) })
+		}
+	}
+	x.tasks.Wait()
+}
+
+func (x *faults) strike(ctx context.Context, a action, h *host, hold time.Duration, variant, strikes int) {
+	part := a.part
+	if part != "platform" && part != "configuration" {
+		part = fmt.Sprintf("%s-%d", a.part, h.number)
+	}
+	if !x.claim(part) {
+		return
+	}
+	defer x.release(part)
+	for range strikes {
+		if ctx.Err() != nil {
+			return
+		}
+		a.strike(x, h, hold/time.Duration(strikes), variant)
+	}
+}
+
+func (x *faults) kill(h *host, hold time.Duration, _ int) {
+	defer x.begin(h.number, false, "kill")()
+	x.fail(h.process.Kill())
+	time.Sleep(hold)
+	x.fail(x.fleet.startNode(h))
+}
+
+func (x *faults) stopPlanned(h *host, hold time.Duration, _ int) {
+	defer x.begin(h.number, true, "planned stop")()
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	if err := h.process.Stop(ctx); err != nil {
+		x.fail(fmt.Errorf("planned stop of node %d: %w", h.number, err))
+		x.fail(h.process.Kill())
+	}
+	time.Sleep(hold / series)
+	x.fail(x.fleet.startNode(h))
+}
+
+func (x *faults) freeze(h *host, hold time.Duration, _ int) {
+	defer x.begin(h.number, false, "freeze")()
+	x.fail(h.process.Freeze())
+	time.Sleep(hold)
+	x.fail(h.process.Thaw())
+}
+
+func (x *faults) hangup(h *host, _ time.Duration, _ int) {
+	defer x.begin(h.number, true, "hangup")()
+	x.fail(x.fleet.writeSettings(h))
+	if err := syscall.Kill(h.process.PID(), syscall.SIGHUP); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		x.fail(fmt.Errorf("hangup of node %d: %w", h.number, err))
+	}
+}
+
+func (x *faults) disturbLink(h *host, l *link.Link, name string, hold time.Duration, variant int) {
+	conditions := []link.Conditions{
+		{DelayMS: delayMS, JitterMS: delayMS}, {Lose: link.DirectionToServer}, {Lose: link.DirectionToClient},
+		{Lose: link.DirectionBoth}, {Refuse: true},
+	}
+	switch n := variant % (len(conditions) + 2); n {
+	case len(conditions):
+		defer x.begin(h.number, false, name+" reset")()
+		l.Reset()
+	case len(conditions) + 1:
+		defer x.begin(h.number, false, name+" silence")()
+		l.Silence()
+	default:
+		defer x.begin(h.number, false, fmt.Sprintf("%s %+v", name, conditions[n]))()
+		x.fail(l.SetConditions(conditions[n]))
+		time.Sleep(hold)
+		x.fail(l.SetConditions(link.Conditions{}))
+	}
+}
+
+func (x *faults) disturbStore(_ *host, hold time.Duration, variant int) {
+	modes := []platformtest.Fault{platformtest.Busy, platformtest.Overloaded, platformtest.Silent, platformtest.Resets}
+	store := x.fleet.store
+	switch n := variant % (len(modes) + 2); n {
+	case len(modes):
+		defer x.begin(everyone, false, "store forgets")()
+		store.Forget()
+	case len(modes) + 1:
+		defer x.begin(everyone, false, "store is slow")()
+		store.SetDelay(slowStore)
+		time.Sleep(hold)
+		store.SetDelay(0)
+	default:
+		defer x.begin(everyone, false, fmt.Sprintf("store fault %d", modes[n]))()
+		store.SetFault(func(platformtest.Caller) platformtest.Fault { return modes[n] })
+		time.Sleep(hold)
+		store.SetFault(nil)
+	}
+}
+
+// misbehave lets an endpoint treat a part of its requests badly.
+func (x *faults) misbehave(h *host, hold time.Duration, variant int) {
+	modes := []platformtest.Behaviour{
+		platformtest.Fails, platformtest.Hangs, platformtest.Breaks, platformtest.Doubles, platformtest.Unsigned,
+		platformtest.Cuts, platformtest.Sheds,
+	}
+	mode := modes[variant%len(modes)]
+	share := uint64(1 + variant%4) // of four
+	rng := rand.New(rand.NewPCG(uint64(variant), 3))
+	defer x.begin(h.number, false, fmt.Sprintf("endpoint behaviour %d", mode))()
+	h.endpoint.Behave(func(*http.Request) platformtest.Behaviour {
+		if rng.Uint64N(4) < share {
+			return mode
+		}
+		return platformtest.Answers
+	})
+	time.Sleep(hold)
+	h.endpoint.Behave(nil)
+}
+
+// replace drains an endpoint and starts another one, at times of the other service, on its address.
+func (x *faults) replace(h *host, _ time.Duration, variant int) {
+	defer x.begin(h.number, false, "endpoint leaves")()
+	leaving := h.endpoint
+	at := time.Now()
+	if variant%2 == 0 {
+		leaving.Drain()
+	} else {
+		leaving.Withdraw()
+	}
+	x.mu.Lock()
+	x.departures = append(x.departures, departure{endpoint: leaving.ID, host: h.number, at: at})
+	x.mu.Unlock()
+	time.Sleep(drainTime + drainTime/2)
+	leaving.Withdraw()
+	leaving.Close()
+	time.Sleep(reuseAfter)
+	if variant%3 == 0 {
+		// Only towards the smaller service, so that it keeps its endpoints.
+		x.fail(x.fleet.setService(h, serviceScan))
+	}
+	x.fail(x.fleet.startEndpoint(h))
+}
+
+// crash ends an endpoint without a word. Its entry lapses later.
+func (x *faults) crash(h *host, hold time.Duration, _ int) {
+	defer x.begin(h.number, false, "endpoint crashes")()
+	gone := h.endpoint
+	gone.Close()
+	time.Sleep(hold)
+	gone.Withdraw()
+	x.fail(x.fleet.startEndpoint(h))
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -12,6 +12,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 	MayExplore bool
 	// TargetLatency is the time within which the response is worth most.
 	TargetLatency time.Duration
+	// Usual is the usual service time of the candidates, which Choose works out.
+	Usual time.Duration
 }
 
 // Reason says why an endpoint was chosen.
@@ -88,9 +91,23 @@
 			return n, ReasonExplore
 		}
 	}
+	r.Usual = usual(candidates)
 	return best(rng, r, candidates)
 }
 
+// usual is the median service time of the candidates.
+func usual(candidates []Candidate) time.Duration {
+	times := make([]time.Duration, len(candidates))
+	for n := range candidates {
+		times[n] = candidates[n].ServiceTime
+	}
+	slices.Sort(times)
+	if len(times) == 0 {
+		return 0
+	}
+	return times[len(times)/2]
+}
+
 // best draws a candidate with a likelihood that falls exponentially with its cost.
 func best(rng *rand.Rand, r Request, candidates []Candidate) (int, Reason) {
 	lowest := math.Inf(1)
@@ -152,7 +169,9 @@
 		zone = largeOtherZoneCost
 	}
 	fails := 1 - (1-c.FailProbability)*(1-c.PathProbability)
-	cost := fails*failure*target + c.ServiceTime.Seconds() + c.RoundTrip.Seconds()
+	// A request that fails needs the usual time of another endpoint, so that failing fast is no advantage.
+	service := (1-fails)*c.ServiceTime.Seconds() + fails*max(c.ServiceTime, r.Usual).Seconds()
+	cost := fails*failure*target + service + c.RoundTrip.Seconds()
 	if free := c.free(); free < 1 {
 		cost += (1 - free) / float64(max(c.Slots, 1)) * c.ServiceTime.Seconds()
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// Plays an endpoint that fails at once, which makes it look free and fast: short requests that may be repeated must not
+// pile up there.
+func TestFailingFastAttractsNoRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fast, slow := sound(), sound()
+	fast.FailProbability, fast.ServiceTime = 0.98, 5*time.Millisecond
+	slow.ServiceTime, slow.OtherZone, slow.Busy = 500*time.Millisecond, true, 2
+	lookup := placement.Request{Repeatable: true, TargetLatency: 800 * time.Millisecond}
+	counts := draw(lookup, []placement.Candidate{fast, slow, slow, slow}, 1000)
+	g.Expect(counts[0]).To(gomega.BeNumerically("<", 10))
+}
+
 // Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
 // one is left alone until it may have recovered.
 func TestRepeatableRequestsProbe(t *testing.T) {
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -32,7 +32,8 @@
 	longReserve = 1
 	// defaultService is the mean time for a request before any was seen.
 	defaultService = 150 * time.Millisecond
-	// serviceWeight is the weight of the latest request in the mean.
+	// serviceWeight is the weight of the latest request in the mean of its route. In the mean over all routes a request
+	// weighs less in proportion if it is shorter, so that many short ones do not hide how long the others take.
 	serviceWeight = 0.15
 	// A request counts as stalled once it is stallFactor times as old as the mean of its route, at least minStall.
 	stallFactor = 2.3
@@ -320,7 +321,8 @@
 }
 
 func (e *endpoint) learnTime(route string, took time.Duration) {
-	e.mean += time.Duration(serviceWeight * float64(took-e.mean))
+	weight := serviceWeight * min(1, took.Seconds()/e.mean.Seconds())
+	e.mean += time.Duration(weight * float64(took-e.mean))
 	known, ok := e.routes[route]
 	switch {
 	case ok:
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -200,6 +200,20 @@
 	return len(l.flows)
 }
 
+// Reset resets all connections that are open now and returns their number.
+func (l *Link) Reset() int {
+	l.mu.Lock()
+	open := make([]*flow, 0, len(l.flows))
+	for f := range l.flows {
+		open = append(open, f)
+	}
+	l.mu.Unlock()
+	for _, f := range open {
+		f.reset()
+	}
+	return len(open)
+}
+
 // Stats returns the counts since the start.
 func (l *Link) Stats() Stats {
 	l.mu.Lock()
@@ -472,6 +486,17 @@
 	})
 }
 
+// reset closes both connections without an orderly end of stream.
+func (f *flow) reset() {
+	for _, conn := range []net.Conn{f.client, f.server} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// An error means that the connection is closed already.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	f.close()
+}
+
 func closeWrite(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
