Let requests wait at the best endpoint for a tenth of their target latency

With all of an endpoint's 13 slots busy, a request waits about a thirteenth of the service time for the next free one, but the dispatcher refused whatever would wait for more than a millisecond, and estimated the wait at half a service time or more. Each refusal cost another hop, to an endpoint about which less was known. Change: the forwarder states the wait that it accepts; the expected wait is the time until the first of the slots is free, and overdue requests count as slots that work off less.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -72,6 +72,10 @@
 	// runs alone; afterwards they run for aloneGap before the next try.
 	aloneHold = 500 * time.Millisecond
 	aloneGap  = 500 * time.Millisecond
+	// overdue bounds, in units of the mean of its class, for how long a request is expected to run on.
+	overdue = 4
+	// minWorking keeps estimates finite while all slots are held by overdue requests.
+	minWorking = 0.05
 	// estimateShare is the weight of the latest service time in the running mean of its class.
 	estimateShare = 0.1
 )
@@ -367,27 +371,30 @@
 	*mean += time.Duration(estimateShare * float64(serviceTime-*mean))
 }
 
-// expectedWait estimates the time until the item would start: the work that runs or goes before it, spread over the
-// slots. The remaining time of a request is its class mean, or its age once that is larger: a request that has run for
-// long is expected to run on.
+// expectedWait estimates the time until the item would start: until the first of the running requests ends, and then
+// for the requests that go before it, with all slots at work. A request that has run for long is expected to run on, so
+// that its slot works off less.
 func (q *Queue) expectedWait(now time.Duration, item Item) time.Duration {
-	var work time.Duration
+	slots := float64(q.settings.Slots)
+	working := slots - float64(len(q.running))
+	var first time.Duration
 	for _, r := range q.running {
-		work += max(q.mean(r.item.Long)/2, min(now-r.start, q.mean(r.item.Long)*4))
+		usual := q.mean(r.item.Long)
+		first += usual
+		working += float64(usual+1) / float64(max(usual, 2*min(now-r.start, overdue*usual))+1)
 	}
-	ahead := 0
+	first = time.Duration(float64(first) / (slots + 1))
+	var ahead time.Duration
 	for _, other := range q.short {
 		if item.Long || item.Alone || other.before(item) {
-			ahead++
+			ahead += q.meanShort
 		}
 	}
-	work += time.Duration(ahead) * q.meanShort
 	if item.Long || item.Alone {
-		work += time.Duration(len(q.long)) * q.meanLong
+		ahead += time.Duration(len(q.long)) * q.meanLong
 	}
-	slots := q.settings.Slots
 	if item.Long {
-		slots = q.longSlots()
+		working *= float64(q.longSlots()) / slots
 	}
-	return work / time.Duration(slots)
+	return time.Duration(float64(first+ahead) / max(working, minWorking))
 }
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -154,6 +154,27 @@
 	g.Expect(q.Expire(time.Second)).To(gomega.HaveLen(1))
 }
 
+// Plays an endpoint with many slots that are all busy: one of them is free again after a fraction of the service time, so
+// that a request which can wait for that long must not be refused as late or busy.
+func TestExpectedWaitFollowsTheSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const usual = 800 * time.Millisecond
+	q := New(Settings{Slots: 10, QueueLimit: 20})
+	for n := range 11 {
+		q.Offer(0, Item{ID: fmt.Sprint("warm", n), Deadline: far})
+		q.Done(0, fmt.Sprint("warm", n), usual)
+	}
+	for n := range 10 {
+		g.Expect(q.Offer(0, Item{ID: fmt.Sprint("run", n), Deadline: far}).Verdict).To(gomega.Equal(Run))
+	}
+	now := usual / 2
+	g.Expect(q.Offer(now, Item{ID: "tight", Deadline: now + usual + 100*time.Millisecond}).Verdict).To(gomega.Equal(Queued))
+	g.Expect(q.Offer(now, Item{ID: "patient", Deadline: far, MaxWait: usual / 4}).Verdict).To(gomega.Equal(Queued))
+	g.Expect(q.Offer(now, Item{ID: "impatient", Deadline: far, MaxWait: usual / 8}).Reason).To(gomega.Equal(ReasonBusy))
+	// Requests that run for much longer than usual do not free their slots soon.
+	g.Expect(q.Offer(4*usual, Item{ID: "stuck", Deadline: far, MaxWait: usual}).Reason).To(gomega.Equal(ReasonBusy))
+}
+
 // Guards against a request that runs alone and starves the others, or is starved by them.
 func TestAloneRequestsAndOthersBothProgress(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -49,8 +49,6 @@
 	soundUpTo   = 0.3
 	// maxRoutes bounds the routes whose service times are kept apart.
 	maxRoutes = 256
-	// elsewhereWait is the expected wait from which a request that can be served elsewhere is refused as busy.
-	elsewhereWait = time.Millisecond
 )
 
 type running struct {
@@ -198,10 +196,7 @@
 func (e *endpoint) offer(ctx context.Context, r *Request) (chan error, *outcome.Error) {
 	now := e.dispatcher.now()
 	deadline, _ := ctx.Deadline()
-	item := admission.Item{ID: r.Attempt, Long: r.Long, Priority: r.Priority, Deadline: now + time.Until(deadline)}
-	if r.Elsewhere {
-		item.MaxWait = elsewhereWait
-	}
+	item := admission.Item{ID: r.Attempt, Long: r.Long, Priority: r.Priority, Deadline: now + time.Until(deadline), MaxWait: r.MaxWait}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	decided := e.queue.Offer(now, item)
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -23,6 +23,11 @@
 	loadLifetime = 1500 * time.Millisecond
 	// never is the age of an outcome at an endpoint that has not reported any.
 	never = time.Minute
+	// patience is the share of the target latency for which a request may wait at an endpoint although others are left.
+	// Waiting that long costs less than another hop to an endpoint about which less is known.
+	patience = 0.1
+	// defaultTarget is the target latency of routes that have none.
+	defaultTarget = time.Second
 	// exploreReserve is the share of the fleet's budget that must be left for a request to probe an endpoint. The rest is
 	// kept for requests whose endpoint fails unexpectedly.
 	exploreReserve = 0.4
@@ -40,8 +45,8 @@
 	reason      placement.Reason
 	// service is the time that the endpoint is expected to need.
 	service time.Duration
-	// elsewhere is set if the dispatcher shall refuse the request as busy rather than let it wait.
-	elsewhere bool
+	// maxWait, if not zero, lets the dispatcher refuse the request as busy rather than let it wait longer.
+	maxWait time.Duration
 }
 
 // choose takes an endpoint that was not tried yet, or returns nil.
@@ -72,7 +77,9 @@
 	}
 	p := &pick{
 		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason, service: candidates[n].ServiceTime,
-		elsewhere: fl.bounces < maxBounces && !fl.busy[usable[n].ID] && len(usable) > len(fl.tried)+1,
+	}
+	if fl.bounces < maxBounces && !fl.busy[p.endpoint.ID] && len(usable) > len(fl.tried)+1 {
+		p.maxWait = time.Duration(patience * float64(orDefault(fl.request.route.TargetLatency, defaultTarget)))
 	}
 	p.incarnation = f.options.Conditions.Incarnation(p.host)
 	f.recordChoice(fl, p, r, &candidates[n], len(candidates), view.Revision)
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -151,7 +151,7 @@
 }
 
 func (fl *flight) hedgeDelay() time.Duration {
-	latest := time.Duration(hedgeShare * float64(orDefault(fl.request.route.TargetLatency, time.Second)))
+	latest := time.Duration(hedgeShare * float64(orDefault(fl.request.route.TargetLatency, defaultTarget)))
 	return max(min(hedgeFactor*fl.newest.service, latest), minHedge)
 }
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -72,7 +72,7 @@
 		Route:         r.route.Name,
 		Repeatable:    r.repeatable(),
 		Long:          r.route.Kind == routing.Download,
-		Elsewhere:     p.elsewhere,
+		MaxWait:       p.maxWait,
 		Remaining:     time.Until(r.deadline),
 		Priority:      r.route.Priority,
 		CallerService: f.options.CallerService(),
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -26,9 +26,9 @@
 	Fingerprint string
 	Repeatable  bool
 	Long        bool
-	// Elsewhere is set if the owner shall refuse the request as busy rather than let it wait, because the ingress can
+	// MaxWait, if not zero, lets the owner refuse the request as busy when it would wait longer, because the ingress can
 	// still try another endpoint.
-	Elsewhere bool
+	MaxWait time.Duration
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 	// Priority ranks the request among those of its service; lower values run first.
@@ -39,7 +39,7 @@
 
 const (
 	flagRepeatable = "repeatable"
-	flagElsewhere  = "elsewhere"
+	flagMaxWait    = "max-wait-ms="
 	classLong      = "long"
 	classShort     = "short"
 )
@@ -53,8 +53,8 @@
 	if m.Repeatable {
 		class += "," + flagRepeatable
 	}
-	if m.Elsewhere {
-		class += "," + flagElsewhere
+	if m.MaxWait > 0 {
+		class += "," + flagMaxWait + strconv.FormatInt(max(m.MaxWait.Milliseconds(), 1), 10)
 	}
 	h.Set(outcome.HeaderRequestID, m.RequestID)
 	h.Set(outcome.HeaderHopAttempt, m.Attempt)
@@ -88,6 +88,10 @@
 		}
 	}
 	class := strings.Split(h.Get(outcome.HeaderHopClass), ",")
+	maxWait, err := readMaxWait(class)
+	if err != nil {
+		return nil, err
+	}
 	m := &Meta{
 		RequestID:   h.Get(outcome.HeaderRequestID),
 		Attempt:     h.Get(outcome.HeaderHopAttempt),
@@ -97,7 +101,7 @@
 		Key:         h.Get(outcome.HeaderKey),
 		Fingerprint: h.Get(outcome.HeaderHopFingerprint),
 		Repeatable:  slices.Contains(class, flagRepeatable),
-		Elsewhere:   slices.Contains(class, flagElsewhere),
+		MaxWait:     maxWait,
 		Long:        slices.Contains(class, classLong),
 		Remaining:   time.Duration(remaining) * time.Millisecond,
 
@@ -110,6 +114,19 @@
 	return m, nil
 }
 
+func readMaxWait(class []string) (time.Duration, error) {
+	for _, flag := range class {
+		if text, ok := strings.CutPrefix(flag, flagMaxWait); ok {
+			ms, err := strconv.ParseUint(text, 10, 31)
+			if err != nil {
+				return 0, fmt.Errorf("read header %s: %w", outcome.HeaderHopClass, err)
+			}
+			return time.Duration(ms) * time.Millisecond, nil
+		}
+	}
+	return 0, nil
+}
+
 // State is the state of an endpoint as its owner reports it.
 type State string
 
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -41,7 +41,7 @@
 		Fingerprint: r.fingerprint,
 		Repeatable:  r.route.Repeatable,
 		Long:        r.long,
-		Elsewhere:   p.elsewhere,
+		MaxWait:     p.maxWait,
 		Remaining:   time.Until(r.deadline),
 	}
 	request := &transport.Request{Head: relay.CopyRequest(r.head)}
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -22,6 +22,8 @@
 	// bounceLoad is the known load up to which a request may be refused as busy. Above it the service is overloaded, and
 	// trying elsewhere would add messages without finding a free slot.
 	bounceLoad = 2.0
+	// bounceWait is the expected wait from which an owner refuses a request that can be served elsewhere.
+	bounceWait = time.Millisecond
 	// reportLifetime is how long a report of "down" or "leaving" keeps an endpoint out of use. Afterwards a request is
 	// sent there again, which costs only a refusal if nothing has changed.
 	reportLifetime = 2 * time.Second
@@ -209,8 +211,8 @@
 	token  uint64
 	begin  time.Duration
 	reason string
-	// elsewhere is set if the owner shall refuse the request as busy rather than let it wait.
-	elsewhere bool
+	// maxWait, if not zero, lets the owner refuse the request as busy rather than let it wait longer.
+	maxWait time.Duration
 	// wait is the time for which the request waited in the owner's queue, as the owner reported it.
 	wait time.Duration
 	// rescue is called when the endpoint becomes suspect while the attempt waits for its answer.
@@ -230,7 +232,9 @@
 	}
 	v.nextID++
 	p := &pick{entry: e, token: v.nextID, begin: v.now(), reason: reason}
-	p.elsewhere = mayBounce && reason != reasonProbe && only == "" && len(tried)+1 < len(v.entries) && v.entryLoad(e) <= bounceLoad
+	if mayBounce && reason != reasonProbe && only == "" && len(tried)+1 < len(v.entries) && v.entryLoad(e) <= bounceLoad {
+		p.maxWait = bounceWait
+	}
 	e.inFlight++
 	v.detector.Begin(p.begin, e.id, p.token, r.long)
 	v.record(r, p)
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -202,7 +202,7 @@
 		Long:     r.Long,
 		Deadline: now + time.Until(deadline),
 		Alone:    r.alone,
-		MaxWait:  maxWait(r),
+		MaxWait:  r.MaxWait,
 	})
 	switch decided.Verdict {
 	case admission.Run:
@@ -421,13 +421,3 @@
 		return outcome.ReasonQueueFull
 	}
 }
-
-// busyWait is the expected wait from which a request that can be served elsewhere is refused as busy.
-const busyWait = time.Millisecond
-
-func maxWait(r *Request) time.Duration {
-	if r.Elsewhere {
-		return busyWait
-	}
-	return 0
-}
