Keep what is known of an endpoint over a restart of its node

Change: a report without an outcome leaves the earlier evidence in place, aged; a service time that is not known counts as the usual one.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -149,6 +149,7 @@
 func judge(plan Plan, f *fleet, c *callers, x *faults, unserved []string) *Outcome {
 	r := &record{
 		requests: c.all, runs: make(map[string][]run), disturbances: x.disturbances, departures: x.departures,
+		badStops:  x.badStops,
 		published: x.published, services: f.servicesAt,
 	}
 	for _, e := range f.allEndpoints() {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -25,7 +25,7 @@
 	Slots           int
 	// Busy and Queued are what the endpoint's owner reported, Sent is what this node sent since then.
 	Busy, Queued, Sent int
-	// ServiceTime is the mean time that the endpoint needs for a request.
+	// ServiceTime is the mean time that the endpoint needs for a request, or 0 if it is not known.
 	ServiceTime time.Duration
 	// SinceOutcome is the time since the latest known outcome of a request at the endpoint.
 	SinceOutcome time.Duration
@@ -45,7 +45,7 @@
 	MayExplore bool
 	// TargetLatency is the time within which the response is worth most.
 	TargetLatency time.Duration
-	// Usual is the usual service time of the candidates, which Choose works out.
+	// Usual is the usual service time of the candidates.
 	Usual time.Duration
 }
 
@@ -77,6 +77,8 @@
 	exploreMaxFail = 0.6
 	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
 	exploreMaxPath = 0.3
+	// defaultServiceTime is used while no service time is known.
+	defaultServiceTime = 150 * time.Millisecond
 	// defaultTargetLatency is used for routes without one.
 	defaultTargetLatency = time.Second
 )
@@ -91,20 +93,21 @@
 			return n, ReasonExplore
 		}
 	}
-	r.Usual = usual(candidates)
 	return best(rng, r, candidates)
 }
 
-// usual is the median service time of the candidates.
-func usual(candidates []Candidate) time.Duration {
-	times := make([]time.Duration, len(candidates))
+// Usual returns the median of the service times that are known, or the default if none is.
+func Usual(candidates []Candidate) time.Duration {
+	times := make([]time.Duration, 0, len(candidates))
 	for n := range candidates {
-		times[n] = candidates[n].ServiceTime
+		if candidates[n].ServiceTime > 0 {
+			times = append(times, candidates[n].ServiceTime)
+		}
 	}
-	slices.Sort(times)
 	if len(times) == 0 {
-		return 0
+		return defaultServiceTime
 	}
+	slices.Sort(times)
 	return times[len(times)/2]
 }
 
@@ -169,11 +172,14 @@
 		zone = largeOtherZoneCost
 	}
 	fails := 1 - (1-c.FailProbability)*(1-c.PathProbability)
+	service := c.ServiceTime.Seconds()
+	if service == 0 {
+		service = r.Usual.Seconds()
+	}
 	// A request that fails needs the usual time of another endpoint, so that failing fast is no advantage.
-	service := (1-fails)*c.ServiceTime.Seconds() + fails*max(c.ServiceTime, r.Usual).Seconds()
-	cost := fails*failure*target + service + c.RoundTrip.Seconds()
+	cost := fails*failure*target + service + fails*max(r.Usual.Seconds()-service, 0) + c.RoundTrip.Seconds()
 	if free := c.free(); free < 1 {
-		cost += (1 - free) / float64(max(c.Slots, 1)) * c.ServiceTime.Seconds()
+		cost += (1 - free) / float64(max(c.Slots, 1)) * service
 	}
 	if c.OtherZone {
 		cost += zone * target
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -19,6 +19,7 @@
 func draw(r placement.Request, candidates []placement.Candidate, rounds int) []int {
 	rng := rand.New(rand.NewPCG(3, 4))
 	counts := make([]int, len(candidates)+1)
+	r.Usual = placement.Usual(candidates)
 	for range rounds {
 		n, _ := placement.Choose(rng, r, candidates)
 		if n < 0 {
@@ -69,6 +70,18 @@
 	g.Expect(counts[0]).To(gomega.BeNumerically("<", 10))
 }
 
+// Plays a node that has just restarted: its endpoint, whose service time is not known, must not look faster than the rest.
+func TestUnknownServiceTimeIsNoAdvantage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	candidates := make([]placement.Candidate, 10)
+	for n := range candidates {
+		candidates[n] = sound()
+		candidates[n].ServiceTime = 800 * time.Millisecond
+	}
+	candidates[0].ServiceTime = 0
+	g.Expect(draw(unsafe, candidates, 10000)[0]).To(gomega.BeNumerically("~", 1000, 250))
+}
+
 // Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
 // one is left alone until it may have recovered.
 func TestRepeatableRequestsProbe(t *testing.T) {
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -30,7 +30,7 @@
 	queuePerSlot = 3
 	// longReserve is the number of slots that downloads leave free.
 	longReserve = 1
-	// defaultService is the mean time for a request before any was seen.
+	// defaultService is the least time that is assumed for requests of a route before any was seen.
 	defaultService = 150 * time.Millisecond
 	// serviceWeight is the weight of the latest request in the mean of its route. In the mean over all routes a request
 	// weighs less in proportion if it is shorter, so that many short ones do not hide how long the others take.
@@ -84,7 +84,6 @@
 		waiting:    make(map[string]chan error),
 		running:    make(map[string]*running),
 		routes:     make(map[string]time.Duration),
-		mean:       defaultService,
 	}
 	e.resize(unknownSlots)
 	return e
@@ -141,8 +140,8 @@
 	return r
 }
 
-// expectedService is the mean time for a request. While more than one open request is older, it is the age of the second
-// oldest: one long request is ordinary, two are a sign of a slow endpoint.
+// expectedService is the mean time for a request, or 0 if none was answered yet. While more than one open request is
+// older, it is the age of the second oldest: one long request is ordinary, two are a sign of a slow endpoint.
 func (e *endpoint) expectedService(now time.Duration) time.Duration {
 	if len(e.running) < 2 {
 		return e.mean
@@ -152,7 +151,11 @@
 		ages = append(ages, now-r.begin)
 	}
 	slices.Sort(ages)
-	return max(e.mean, ages[len(ages)-2])
+	second := ages[len(ages)-2]
+	if e.mean == 0 && second < max(e.peersMean(), defaultService) {
+		return 0
+	}
+	return max(e.mean, second)
 }
 
 // run admits a request and sends it.
@@ -316,8 +319,12 @@
 }
 
 func (e *endpoint) learnTime(route string, took time.Duration) {
-	weight := serviceWeight * min(1, took.Seconds()/e.mean.Seconds())
-	e.mean += time.Duration(weight * float64(took-e.mean))
+	if e.mean == 0 {
+		e.mean = took
+	} else {
+		weight := serviceWeight * min(1, took.Seconds()/e.mean.Seconds())
+		e.mean += time.Duration(weight * float64(took-e.mean))
+	}
 	known, ok := e.routes[route]
 	switch {
 	case ok:
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -15,8 +15,6 @@
 	// Round-trip times to other hosts. Those between zones are a few milliseconds one way.
 	zoneRoundTrip  = 500 * time.Microsecond
 	otherRoundTrip = 8 * time.Millisecond
-	// defaultService is the assumed time for a request at an endpoint that has not reported.
-	defaultService = 150 * time.Millisecond
 	// warmUpFactor is how much slower an endpoint is assumed to be right after its start.
 	warmUpFactor = 2
 	// loadLifetime is how long a reported load is used. Afterwards only what this node sent counts.
@@ -66,9 +64,10 @@
 	r := placement.Request{
 		Repeatable:    fl.request.repeatable(),
 		Large:         fl.request.route.Kind == routing.Download,
-		MayExplore:    f.mayExplore(fl),
 		TargetLatency: fl.request.route.TargetLatency,
+		Usual:         placement.Usual(candidates),
 	}
+	r.MayExplore = f.mayExplore(fl, r.Usual)
 	f.mu.Lock()
 	n, reason := placement.Choose(f.rng, r, candidates)
 	f.mu.Unlock()
@@ -76,7 +75,8 @@
 		return nil
 	}
 	p := &pick{
-		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason, service: candidates[n].ServiceTime,
+		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason,
+		service: orDefault(candidates[n].ServiceTime, r.Usual),
 	}
 	if fl.bounces < maxBounces && !fl.busy[p.endpoint.ID] && len(usable) > len(fl.tried)+1 {
 		p.maxWait = time.Duration(patience * float64(orDefault(fl.request.route.TargetLatency, defaultTarget)))
@@ -90,7 +90,7 @@
 func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint) (placement.Candidate, bool) {
 	host := registry.HostOf(e.Address)
 	c := placement.Candidate{
-		Slots: e.Slots, ServiceTime: defaultService, SinceOutcome: never, RoundTrip: zoneRoundTrip,
+		Slots: e.Slots, SinceOutcome: never, RoundTrip: zoneRoundTrip,
 		OtherZone: e.Zone != f.options.Zone, FailProbability: faultfilter.Initial,
 	}
 	if c.OtherZone {
@@ -137,11 +137,11 @@
 }
 
 // mayExplore reports whether a failure of the next attempt can be made good by another one.
-func (f *Forwarder) mayExplore(fl *flight) bool {
+func (f *Forwarder) mayExplore(fl *flight, usual time.Duration) bool {
 	if !fl.repeatable() || fl.arrived > 0 || len(fl.open) > 0 || fl.request.route.Attempts < 2 {
 		return false
 	}
-	if time.Until(fl.request.deadline) < exploreTime*defaultService {
+	if time.Until(fl.request.deadline) < exploreTime*usual {
 		return false
 	}
 	left, limit := f.repeats(fl.request.service)
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 var (
@@ -88,6 +89,9 @@
 	return nil
 }
 
+// lastChance is the time that a service gets to stop although the ones before it have used up all there was.
+const lastChance = 50 * time.Millisecond
+
 // Stop stops the started services in reverse order and returns all their errors.
 func (k *Kernel) Stop(ctx context.Context) error {
 	k.mu.Lock()
@@ -126,6 +130,11 @@
 	if !ok {
 		return nil
 	}
+	if ctx.Err() != nil {
+		extra, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastChance)
+		defer cancel()
+		ctx = extra
+	}
 	if err := stopper.Stop(ctx); err != nil {
 		return fmt.Errorf("stop %q: %w", name, err)
 	}
--- a/pkg/member/network.go
+++ b/pkg/member/network.go
@@ -105,7 +105,10 @@
 	var fails, times []int
 	for _, e := range m.discovery.View().ByService[service] {
 		if known, ok := m.reports.Endpoint(e.ID); ok && e.ID != except {
-			fails, times = append(fails, known.FailPerMille), append(times, known.ServiceMS)
+			fails = append(fails, known.FailPerMille)
+			if known.ServiceMS > 0 {
+				times = append(times, known.ServiceMS)
+			}
 		}
 	}
 	if len(fails) == 0 {
@@ -113,5 +116,9 @@
 	}
 	slices.Sort(fails)
 	slices.Sort(times)
-	return reports.Endpoint{FailPerMille: fails[len(fails)/2], ServiceMS: times[len(times)/2]}, true
+	median := reports.Endpoint{FailPerMille: fails[len(fails)/2]}
+	if len(times) > 0 {
+		median.ServiceMS = times[len(times)/2]
+	}
+	return median, true
 }
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"agatepulley.example/agatepulley/pkg/lifecycle"
@@ -12,13 +11,12 @@
 	stopPoll = 20 * time.Millisecond
 	// stopQuiet is how long no request must be in flight before the listeners close.
 	stopQuiet = 150 * time.Millisecond
-	// stopReserve is the part of the stop timeout that is left for the release of resources.
+	// stopReserve is the part of the stop timeout that is left for the last requests and the release of resources.
 	stopReserve = time.Second
+	// stopMargin keeps the end of the process before the moment at which it would be killed.
+	stopMargin = 100 * time.Millisecond
 )
 
-// errStopTimeout is returned when requests were still in flight shortly before the end of the stop timeout.
-var errStopTimeout = errors.New("requests were still in flight at the end of the stop timeout")
-
 // stop ends the node without cutting requests. It takes no more work for its endpoint, serves callers that keep arriving
 // through other hosts, and tells them to close their connections.
 func (m *Member) stop() error {
@@ -26,20 +24,21 @@
 	m.dispatcher.Leave()
 	m.reports.Notify()
 	m.forwarder.Close()
-	drainErr := m.awaitQuiet()
+	m.awaitQuiet()
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
 	defer cancel()
 	err := m.kernel.Stop(ctx)
 	m.life.Fire(lifecycle.Drained)
-	return errors.Join(drainErr, err)
+	return err
 }
 
-// awaitQuiet waits until the notice period has passed and no request has been in flight for a short while.
-func (m *Member) awaitQuiet() error {
+// awaitQuiet waits until the notice period has passed and no request has been in flight for a short while. Callers that
+// have nowhere else to go keep coming, so it ends in any case while the requests in flight can still be finished.
+func (m *Member) awaitQuiet() {
 	start := time.Now()
 	quietSince := start
 	s := m.settings.Load()
-	limit := s.StopTimeout - stopReserve
+	limit := s.StopTimeout - stopReserve - stopMargin
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for now := range ticker.C {
@@ -47,14 +46,13 @@
 			quietSince = now
 		}
 		if now.Sub(start) >= limit {
-			m.logger.Error("stop timeout", "in_flight", m.inFlight())
-			return errStopTimeout
+			m.logger.Warn("callers keep coming, listeners close", "in_flight", m.inFlight())
+			return
 		}
 		if now.Sub(start) >= s.StopNotice && now.Sub(quietSince) >= stopQuiet {
-			return nil
+			return
 		}
 	}
-	return nil
 }
 
 func (m *Member) inFlight() int {
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
 )
 
 // Endpoint is an owner's report on its endpoint. It travels in datagrams as an array and in a header of the inner hop as
@@ -16,7 +18,7 @@
 	Busy         int `json:"b,omitempty"`
 	Queued       int `json:"q,omitempty"`
 	Slots        int `json:"s"`
-	// ServiceMS is the mean time for a request, in milliseconds.
+	// ServiceMS is the mean time for a request, in milliseconds, or 0 if it is not known.
 	ServiceMS int `json:"m,omitempty"`
 	// OutcomeMS is the time since the latest outcome of a request, in milliseconds, or negative if there was none.
 	OutcomeMS int `json:"o"`
@@ -72,3 +74,15 @@
 	// Sent counts the requests that this node has sent to the endpoint since.
 	Sent int
 }
+
+// update returns what is known after a report. The dispatcher of a node that has restarted has not seen any outcome yet;
+// what was known before, and has aged since, says more about the endpoint than its prior.
+func (k *Known) update(e Endpoint, now time.Duration) *Known {
+	if k != nil && e.OutcomeMS < 0 && k.OutcomeMS >= 0 {
+		age := now - k.At
+		e.FailPerMille = int(1000 * faultfilter.Project(float64(k.FailPerMille)/1000, age))
+		e.OutcomeMS = k.OutcomeMS + int(age.Milliseconds())
+		e.ServiceMS = k.ServiceMS
+	}
+	return &Known{Endpoint: e, At: now}
+}
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -28,6 +28,20 @@
 	g.Expect(len(datagram)).To(gomega.BeNumerically("<=", 128))
 }
 
+// Guards against a failing endpoint that counts as sound again because its node has restarted and forgotten it.
+func TestRestartedDispatcherDoesNotEraseEvidence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var known *Known
+	known = known.update(Endpoint{ID: "e", FailPerMille: 980, ServiceMS: 800, OutcomeMS: 40}, time.Second)
+	known = known.update(Endpoint{ID: "e", FailPerMille: 100, Busy: 2, OutcomeMS: -1}, 1500*time.Millisecond)
+	g.Expect(known.FailPerMille).To(gomega.BeNumerically(">", 800))
+	g.Expect(known.ServiceMS).To(gomega.Equal(800))
+	g.Expect(known.OutcomeMS).To(gomega.Equal(540))
+	g.Expect(known.Busy).To(gomega.Equal(2))
+	known = known.update(Endpoint{ID: "e", FailPerMille: 20, ServiceMS: 300, OutcomeMS: 5}, 2*time.Second)
+	g.Expect(known.Endpoint).To(gomega.Equal(Endpoint{ID: "e", FailPerMille: 20, ServiceMS: 300, OutcomeMS: 5}))
+}
+
 const every = 300 * time.Millisecond
 
 // Guards against a path that counts as sound although nothing comes back, and against one that is given up over a single
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -169,7 +169,7 @@
 func (s *Service) ObserveEndpoint(e Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endpoints[e.ID] = &Known{Endpoint: e, At: s.options.Clock.Now()}
+	s.endpoints[e.ID] = s.endpoints[e.ID].update(e, s.options.Clock.Now())
 }
 
 // Endpoint returns the latest report on an endpoint.
@@ -342,7 +342,7 @@
 	h.path.heard(now, r.Sequence, restarted, r.HeardMS)
 	h.report = *r
 	for _, e := range r.Endpoints {
-		s.endpoints[e.ID] = &Known{Endpoint: e, At: now}
+		s.endpoints[e.ID] = s.endpoints[e.ID].update(e, now)
 	}
 	s.mu.Unlock()
 	s.options.Observe(net.JoinHostPort(ip, strconv.Itoa(s.options.Port)), r)
