Let requests wait in a saturated service, and hedge only with repeats to spare

Second attempts beside slow ones took slots of the saturated service and repeats that failures needed (128 second attempts, 538 failures without a repeat). Change: no refusal as busy while no probably sound endpoint is known to have a free slot; a second attempt needs the same reserve of the budget as a probe.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -70,6 +70,8 @@
 	spread = 0.05
 	// minFree is the number of free slots that a full endpoint counts with.
 	minFree = 0.2
+	// doubtful is the probability of failing from which an endpoint's free slots do not count.
+	doubtful = 0.3
 	// exploreAfter is the time without outcomes after which an endpoint is worth a probe.
 	exploreAfter = 350 * time.Millisecond
 	// exploreMaxFail is the probability of failing from which an endpoint is left alone until time has made its recovery
@@ -161,6 +163,18 @@
 	return chosen
 }
 
+// Saturated reports whether no endpoint that probably works is known to have a free slot. Requests then wait where they
+// are, because going from one full queue to the next gains nothing.
+func Saturated(candidates []Candidate) bool {
+	for n := range candidates {
+		c := &candidates[n]
+		if !c.Tried && c.fails() < doubtful && c.free() >= 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // Cost is the expected time lost by sending the request to the candidate, in seconds.
 func Cost(r Request, c *Candidate) float64 {
 	target := r.TargetLatency.Seconds()
@@ -171,7 +185,7 @@
 	if r.Large {
 		zone = largeOtherZoneCost
 	}
-	fails := 1 - (1-c.FailProbability)*(1-c.PathProbability)
+	fails := c.fails()
 	service := c.ServiceTime.Seconds()
 	if service == 0 {
 		service = r.Usual.Seconds()
@@ -187,6 +201,11 @@
 	return cost
 }
 
+// fails is the probability that a request to the candidate is not answered.
+func (c *Candidate) fails() float64 {
+	return 1 - (1-c.FailProbability)*(1-c.PathProbability)
+}
+
 func (c *Candidate) free() float64 {
 	return float64(c.Slots - c.Busy - c.Queued - c.Sent)
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -82,6 +82,18 @@
 	g.Expect(draw(unsafe, candidates, 10000)[0]).To(gomega.BeNumerically("~", 1000, 250))
 }
 
+// Plays a service without a free slot: its requests must wait for their turn rather than go from one full queue to the
+// next. Free slots of endpoints that probably fail, or that had the request before, are no way out.
+func TestServiceWithoutFreeSlotsIsSaturated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full, failing, tried := sound(), sound(), sound()
+	full.Busy = full.Slots
+	failing.FailProbability = 0.9
+	tried.Tried = true
+	g.Expect(placement.Saturated([]placement.Candidate{full, failing, tried})).To(gomega.BeTrue())
+	g.Expect(placement.Saturated([]placement.Candidate{full, sound()})).To(gomega.BeFalse())
+}
+
 // Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
 // one is left alone until it may have recovered.
 func TestRepeatableRequestsProbe(t *testing.T) {
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -26,8 +26,8 @@
 	patience = 0.1
 	// defaultTarget is the target latency of routes that have none.
 	defaultTarget = time.Second
-	// exploreReserve is the share of the fleet's budget that must be left for a request to probe an endpoint. The rest is
-	// kept for requests whose endpoint fails unexpectedly.
+	// exploreReserve is the share of the fleet's budget that must be left for a request to probe an endpoint, or for a
+	// second attempt beside a slow one. The rest is kept for requests whose endpoint fails unexpectedly.
 	exploreReserve = 0.4
 	// exploreTime is the time that must be left, in units of the usual service time.
 	exploreTime = 4
@@ -78,7 +78,7 @@
 		endpoint: usable[n], host: registry.HostOf(usable[n].Address), reason: reason,
 		service: orDefault(candidates[n].ServiceTime, r.Usual),
 	}
-	if fl.bounces < maxBounces && !fl.busy[p.endpoint.ID] && len(usable) > len(fl.tried)+1 {
+	if fl.bounces < maxBounces && !fl.busy[p.endpoint.ID] && !placement.Saturated(candidates) {
 		p.maxWait = time.Duration(patience * float64(orDefault(fl.request.route.TargetLatency, defaultTarget)))
 	}
 	p.incarnation = f.options.Conditions.Incarnation(p.host)
@@ -141,10 +141,12 @@
 	if !fl.repeatable() || fl.arrived > 0 || len(fl.open) > 0 || fl.request.route.Attempts < 2 {
 		return false
 	}
-	if time.Until(fl.request.deadline) < exploreTime*usual {
-		return false
-	}
-	left, limit := f.repeats(fl.request.service)
+	return time.Until(fl.request.deadline) >= exploreTime*usual && f.repeatsToSpare(fl.request.service)
+}
+
+// repeatsToSpare reports whether the fleet has repeats left beside those that failures will need.
+func (f *Forwarder) repeatsToSpare(service string) bool {
+	left, limit := f.repeats(service)
 	return left >= exploreReserve*limit
 }
 
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -157,7 +157,10 @@
 
 // hedge starts a second attempt beside a slow one.
 func (fl *flight) hedge(ctx context.Context) {
-	if ctx.Err() != nil || fl.ran()+len(fl.open) >= fl.request.route.Attempts || !fl.pay() {
+	if ctx.Err() != nil || fl.ran()+len(fl.open) >= fl.request.route.Attempts {
+		return
+	}
+	if !fl.forwarder.repeatsToSpare(fl.request.service) || !fl.pay() {
 		return
 	}
 	if fl.launch(ctx) {
