Probe endpoints that probably fail at a bounded rate, also while repeats are scarce

Change: after 1.2 s without an outcome a failing endpoint gets three probes a second from all nodes together, half as many while repeats are scarce.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -43,6 +43,10 @@
 	Large bool
 	// MayExplore allows an endpoint that is not the best one, because a failure can be made good by another attempt.
 	MayExplore bool
+	// RepeatsScarce is set while little is left of the retry budget, so that a failure will hardly be made good.
+	RepeatsScarce bool
+	// PerSecond is the number of requests of the service per second, over all nodes.
+	PerSecond float64
 	// TargetLatency is the time within which the response is worth most.
 	TargetLatency time.Duration
 	// Usual is the usual service time of the candidates.
@@ -74,9 +78,14 @@
 	doubtful = 0.3
 	// exploreAfter is the time without outcomes after which an endpoint is worth a probe.
 	exploreAfter = 350 * time.Millisecond
-	// exploreMaxFail is the probability of failing from which an endpoint is left alone until time has made its recovery
-	// likely enough for a probe.
+	// exploreMaxFail is the probability of failing from which an endpoint is left alone for retryAfter, the least time in
+	// which it may have recovered, and is then probed at retryRate per second by all nodes together. An endpoint that has
+	// recovered must see requests again within about two seconds.
 	exploreMaxFail = 0.6
+	retryAfter     = 1200 * time.Millisecond
+	retryRate      = 3.0
+	// scarceShare is the part of these probes that remains while repeats are scarce.
+	scarceShare = 0.5
 	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
 	exploreMaxPath = 0.3
 	// defaultServiceTime is used while no service time is known.
@@ -141,26 +150,35 @@
 	return chosen, ReasonBest
 }
 
-// explore picks at random one of the endpoints about which nothing was heard lately.
+// explore picks at random one of the endpoints about which nothing was heard lately. Those that probably fail cost a
+// repeat, so that only a share of the requests goes to them.
 func explore(rng *rand.Rand, r Request, candidates []Candidate) int {
-	chosen, seen := -1, 0
+	quiet, failing := -1, -1
+	quietSeen, failingSeen := 0, 0
 	for n := range candidates {
 		c := &candidates[n]
-		if c.Tried || c.Sent > 0 || c.SinceOutcome < exploreAfter || c.free() < 1 {
+		if c.Tried || c.Sent > 0 || c.free() < 1 || c.PathProbability > exploreMaxPath || (r.Large && c.OtherZone) {
 			continue
 		}
-		if c.FailProbability > exploreMaxFail || c.PathProbability > exploreMaxPath {
-			continue
-		}
-		if r.Large && c.OtherZone {
-			continue
-		}
-		seen++
-		if rng.IntN(seen) == 0 {
-			chosen = n
+		switch {
+		case c.FailProbability > exploreMaxFail && c.SinceOutcome >= retryAfter:
+			if failingSeen++; rng.IntN(failingSeen) == 0 {
+				failing = n
+			}
+		case c.FailProbability <= exploreMaxFail && c.SinceOutcome >= exploreAfter && !r.RepeatsScarce:
+			if quietSeen++; rng.IntN(quietSeen) == 0 {
+				quiet = n
+			}
 		}
 	}
-	return chosen
+	rate := retryRate * float64(failingSeen)
+	if r.RepeatsScarce {
+		rate *= scarceShare
+	}
+	if failing >= 0 && rng.Float64()*r.PerSecond < rate {
+		return failing
+	}
+	return quiet
 }
 
 // Saturated reports whether no endpoint that probably works is known to have a free slot. Requests then wait where they
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -94,6 +94,34 @@
 	g.Expect(placement.Saturated([]placement.Candidate{full, sound()})).To(gomega.BeFalse())
 }
 
+// Plays a day on which a third of the endpoints fail and the retry budget is used up: an endpoint that has recovered must
+// see a request again within two seconds, and those that still fail must not take more than a few requests.
+func TestFailingEndpointsAreProbedNowAndThen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	const perSecond, seconds = 40, 60
+	last := make([]time.Duration, 4)
+	longest, probes := time.Duration(0), 0
+	for n := range perSecond * seconds {
+		now := time.Duration(n) * time.Second / perSecond
+		candidates := []placement.Candidate{sound(), sound(), sound(), sound(), sound(), sound(), sound(), sound()}
+		for e := range last {
+			candidates[e].FailProbability, candidates[e].SinceOutcome = 0.9, now-last[e]
+		}
+		r := placement.Request{
+			Repeatable: true, MayExplore: true, RepeatsScarce: true, PerSecond: perSecond, TargetLatency: time.Second,
+			Usual: placement.Usual(candidates),
+		}
+		if chosen, _ := placement.Choose(rng, r, candidates); chosen < len(last) {
+			longest = max(longest, now-last[chosen])
+			last[chosen] = now
+			probes++
+		}
+	}
+	g.Expect(longest).To(gomega.BeNumerically("<", 6*time.Second))
+	g.Expect(float64(probes) / seconds / float64(len(last))).To(gomega.BeNumerically("~", 0.5, 0.12))
+}
+
 // Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
 // one is left alone until it may have recovered.
 func TestRepeatableRequestsProbe(t *testing.T) {
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// perSecond returns the number of requests of a service per second, over the part of the fleet that is heard.
+func (f *Forwarder) perSecond(service string) float64 {
+	others, _ := f.options.Conditions.Repeats(service)
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Usage(now).Add(others).Requests / f.options.Budget.Window.Seconds()
+}
+
 // repeats returns how many repeats of a service the fleet may still make, and how many it may make in all.
 func (f *Forwarder) repeats(service string) (left, limit float64) {
 	others, share := f.options.Conditions.Repeats(service)
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -67,7 +67,9 @@
 		TargetLatency: fl.request.route.TargetLatency,
 		Usual:         placement.Usual(candidates),
 	}
-	r.MayExplore = f.mayExplore(fl, r.Usual)
+	r.RepeatsScarce = !f.repeatsToSpare(fl.request.service)
+	r.PerSecond = f.perSecond(fl.request.service)
+	r.MayExplore = fl.mayExplore(r.Usual)
 	f.mu.Lock()
 	n, reason := placement.Choose(f.rng, r, candidates)
 	f.mu.Unlock()
@@ -136,12 +138,12 @@
 	}
 }
 
-// mayExplore reports whether a failure of the next attempt can be made good by another one.
-func (f *Forwarder) mayExplore(fl *flight, usual time.Duration) bool {
+// mayExplore reports whether there is time to make good a failure of the next attempt.
+func (fl *flight) mayExplore(usual time.Duration) bool {
 	if !fl.repeatable() || fl.arrived > 0 || len(fl.open) > 0 || fl.request.route.Attempts < 2 {
 		return false
 	}
-	return time.Until(fl.request.deadline) >= exploreTime*usual && f.repeatsToSpare(fl.request.service)
+	return time.Until(fl.request.deadline) >= exploreTime*usual
 }
 
 // repeatsToSpare reports whether the fleet has repeats left beside those that failures will need.
