Read the store once at the start until other nodes have been heard

A node that starts takes itself for the only one of its zone until it hears of another, and in a rolling restart each of 200 nodes read and watched for up to a second. Change: after its first reads a node waits 1.2 s before its rank counts.

--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -56,8 +56,12 @@
 	return 0
 }
 
-// shouldRead reports whether this node reads the store now.
+// shouldRead reports whether this node reads the store now. Each node reads once when it starts; in a rolling restart each
+// would otherwise go on reading until it hears of the others.
 func (s *Service) shouldRead() bool {
+	if !s.options.Readers.Settled() {
+		return false
+	}
 	rank := s.options.Readers.Rank()
 	if rank == 0 {
 		return true
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -45,6 +45,8 @@
 
 // Readers tells a node whether it should read the store.
 type Readers interface {
+	// Settled reports whether the node has had the time to hear of the others.
+	Settled() bool
 	// Rank is the position of this node among the nodes of its zone; the first one reads.
 	Rank() int
 	// StoreContact is the time since any other node was last answered by the store, as far as known.
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -38,6 +38,9 @@
 	maxDatagram = 8 << 10
 	// stepPath names decisions on paths in the log.
 	stepPath = "path"
+	// settleTime is how long a node that has just started waits to hear of the others before it takes itself for the only
+	// one in its zone. Each live host reports within it.
+	settleTime = 1200 * time.Millisecond
 	// forever is an age that stands for "never".
 	forever = time.Hour
 )
@@ -75,6 +78,7 @@
 	options Options
 	conn    *net.UDPConn
 	wake    chan struct{}
+	started time.Duration
 
 	mu        sync.Mutex
 	hosts     map[string]*host
@@ -100,7 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for reports: %w", err)
 	}
-	s.conn = conn
+	s.conn, s.started = conn, s.options.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.tasks.Go(s.receive)
@@ -261,6 +265,11 @@
 	return 1 + len(s.liveIn(""))
 }
 
+// Settled reports whether the node has had the time to hear of the others. Until then its rank means nothing.
+func (s *Service) Settled() bool {
+	return s.options.Clock.Now()-s.started >= settleTime
+}
+
 // Rank returns the position of this node among the live nodes of its zone.
 func (s *Service) Rank() int {
 	s.mu.Lock()
