--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -30,7 +30,7 @@
 	// gcPercent trades memory for processor time: the live heap of a node is small against its memory limit.
 	gcPercent = 400
 	// siteGCPercent is used where memory is charged for and hosts are small.
-	siteGCPercent = 75
+	siteGCPercent = 40
 	// memoryLimitBytes makes the collector work harder before the node reaches the 128 MB that a host grants it.
 	memoryLimitBytes = 112 << 20
 )
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -45,7 +45,7 @@
 	MayExplore bool
 	// RepeatsScarce is set while little is left of the retry budget, so that a failure will hardly be made good.
 	RepeatsScarce bool
-	// PerSecond is the number of requests of the service per second, over all nodes.
+	// PerSecond is the number of repeatable requests of the service per second, over all nodes.
 	PerSecond float64
 	// TargetLatency is the time within which the response is worth most.
 	TargetLatency time.Duration
@@ -76,15 +76,17 @@
 	minFree = 0.2
 	// doubtful is the probability of failing from which an endpoint's free slots do not count.
 	doubtful = 0.3
-	// exploreAfter is the time without outcomes after which an endpoint is worth a probe.
+	// exploreAfter is the time without outcomes after which an endpoint is worth a probe while repeats are to spare.
 	exploreAfter = 350 * time.Millisecond
-	// exploreMaxFail is the probability of failing from which an endpoint is left alone for retryAfter, the least time in
-	// which it may have recovered, and is then probed at retryRate per second by all nodes together. An endpoint that has
-	// recovered must see requests again within about two seconds.
+	// Whatever is left of the retry budget, an endpoint without outcomes is probed at probeRate per second by all nodes
+	// together, so that one that has recovered sees requests again within about two seconds. Probes begin after quietAfter,
+	// or after failingAfter, the least time in which it may have recovered, if the endpoint fails with a probability above
+	// exploreMaxFail.
+	quietAfter     = 700 * time.Millisecond
+	failingAfter   = 1200 * time.Millisecond
 	exploreMaxFail = 0.6
-	retryAfter     = 1200 * time.Millisecond
-	retryRate      = 3.0
-	// scarceShare is the part of these probes that remains while repeats are scarce.
+	probeRate      = 3.0
+	// scarceShare is the part of the probes of failing endpoints that remains while repeats are scarce.
 	scarceShare = 0.5
 	// exploreMaxPath is the path probability above which a probe would say nothing about the endpoint.
 	exploreMaxPath = 0.3
@@ -150,35 +152,45 @@
 	return chosen, ReasonBest
 }
 
-// explore picks at random one of the endpoints about which nothing was heard lately. Those that probably fail cost a
-// repeat, so that only a share of the requests goes to them.
+// explore picks at random one of the endpoints about which nothing was heard lately. Most requests may go to those that
+// are probably sound while repeats are to spare; otherwise only as many as are needed to hear of each one now and then.
 func explore(rng *rand.Rand, r Request, candidates []Candidate) int {
-	quiet, failing := -1, -1
-	quietSeen, failingSeen := 0, 0
+	spare, due := -1, -1
+	spareSeen, rate := 0, 0.0
 	for n := range candidates {
 		c := &candidates[n]
 		if c.Tried || c.Sent > 0 || c.free() < 1 || c.PathProbability > exploreMaxPath || (r.Large && c.OtherZone) {
 			continue
 		}
-		switch {
-		case c.FailProbability > exploreMaxFail && c.SinceOutcome >= retryAfter:
-			if failingSeen++; rng.IntN(failingSeen) == 0 {
-				failing = n
+		if probes := c.probeRate(r); probes > 0 {
+			if rate += probes; rng.Float64()*rate < probes {
+				due = n
 			}
-		case c.FailProbability <= exploreMaxFail && c.SinceOutcome >= exploreAfter && !r.RepeatsScarce:
-			if quietSeen++; rng.IntN(quietSeen) == 0 {
-				quiet = n
+		}
+		if c.FailProbability <= exploreMaxFail && c.SinceOutcome >= exploreAfter && !r.RepeatsScarce {
+			if spareSeen++; rng.IntN(spareSeen) == 0 {
+				spare = n
 			}
 		}
 	}
-	rate := retryRate * float64(failingSeen)
-	if r.RepeatsScarce {
-		rate *= scarceShare
+	if due >= 0 && rng.Float64()*r.PerSecond < rate {
+		return due
 	}
-	if failing >= 0 && rng.Float64()*r.PerSecond < rate {
-		return failing
+	return spare
+}
+
+// probeRate is the number of probes per second that the candidate should get from all nodes together.
+func (c *Candidate) probeRate(r Request) float64 {
+	switch {
+	case c.FailProbability <= exploreMaxFail && c.SinceOutcome >= quietAfter:
+		return probeRate
+	case c.FailProbability > exploreMaxFail && c.SinceOutcome >= failingAfter && r.RepeatsScarce:
+		return probeRate * scarceShare
+	case c.FailProbability > exploreMaxFail && c.SinceOutcome >= failingAfter:
+		return probeRate
+	default:
+		return 0
 	}
-	return quiet
 }
 
 // Saturated reports whether no endpoint that probably works is known to have a free slot. Requests then wait where they
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -94,32 +94,43 @@
 	g.Expect(placement.Saturated([]placement.Candidate{full, sound()})).To(gomega.BeFalse())
 }
 
-// Plays a day on which a third of the endpoints fail and the retry budget is used up: an endpoint that has recovered must
-// see a request again within two seconds, and those that still fail must not take more than a few requests.
-func TestFailingEndpointsAreProbedNowAndThen(t *testing.T) {
-	g := gomega.NewWithT(t)
+// probeGaps plays a minute on which repeats are scarce, with four endpoints at a probability of failing beside sound ones.
+// It returns the share of two-second windows in which one of the four got nothing, and the probes per second of each.
+func probeGaps(fail float64) (idle, probes float64) {
 	rng := rand.New(rand.NewPCG(5, 6))
-	const perSecond, seconds = 40, 60
+	const perSecond, seconds, window = 40, 60, 2 * time.Second
 	last := make([]time.Duration, 4)
-	longest, probes := time.Duration(0), 0
 	for n := range perSecond * seconds {
 		now := time.Duration(n) * time.Second / perSecond
 		candidates := []placement.Candidate{sound(), sound(), sound(), sound(), sound(), sound(), sound(), sound()}
 		for e := range last {
-			candidates[e].FailProbability, candidates[e].SinceOutcome = 0.9, now-last[e]
+			candidates[e].FailProbability, candidates[e].SinceOutcome = fail, now-last[e]
+			if now-last[e] > window {
+				idle++
+			}
 		}
 		r := placement.Request{
 			Repeatable: true, MayExplore: true, RepeatsScarce: true, PerSecond: perSecond, TargetLatency: time.Second,
 			Usual: placement.Usual(candidates),
 		}
-		if chosen, _ := placement.Choose(rng, r, candidates); chosen < len(last) {
-			longest = max(longest, now-last[chosen])
+		if chosen, reason := placement.Choose(rng, r, candidates); reason == placement.ReasonExplore {
 			last[chosen] = now
 			probes++
 		}
 	}
-	g.Expect(longest).To(gomega.BeNumerically("<", 6*time.Second))
-	g.Expect(float64(probes) / seconds / float64(len(last))).To(gomega.BeNumerically("~", 0.5, 0.12))
+	samples := float64(perSecond * seconds * len(last))
+	return idle / samples, probes / seconds / float64(len(last))
+}
+
+// Plays a day on which a third of the endpoints fail and the retry budget is used up. At least 70% of the endpoints that
+// work must see requests in each window of two seconds, which holds if hardly any window of a quiet one is empty. Those
+// that fail must not take more than a few requests.
+func TestQuietAndFailingEndpointsAreProbed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	idle, _ := probeGaps(0.2)
+	g.Expect(idle).To(gomega.BeNumerically("<", 0.1))
+	_, probes := probeGaps(0.9)
+	g.Expect(probes).To(gomega.BeNumerically("~", 0.5, 0.12))
 }
 
 // Plays an endpoint about which nothing was heard: requests that may be repeated probe it, others do not, and a failing
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -32,11 +32,13 @@
 type Usage struct {
 	Requests float64
 	Repeats  float64
+	// Repeatable counts the requests that may be repeated. Nodes do not tell it each other.
+	Repeatable float64
 }
 
 // Add returns the sum of two usages.
 func (u Usage) Add(o Usage) Usage {
-	return Usage{Requests: u.Requests + o.Requests, Repeats: u.Repeats + o.Repeats}
+	return Usage{Requests: u.Requests + o.Requests, Repeats: u.Repeats + o.Repeats, Repeatable: u.Repeatable + o.Repeatable}
 }
 
 // Left returns how many repeats the known part of the fleet may still make. The share is that of the nodes that are
@@ -65,8 +67,12 @@
 }
 
 // Request counts a request of a caller.
-func (b *Budget) Request(now time.Duration) {
-	b.bucket(now).Requests++
+func (b *Budget) Request(now time.Duration, repeatable bool) {
+	entry := b.bucket(now)
+	entry.Requests++
+	if repeatable {
+		entry.Repeatable++
+	}
 }
 
 // Repeat counts repeats. A part of one stands for a call that a repeated request may make.
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -86,7 +86,7 @@
 			for n, b := range f.budgets {
 				credit += rate
 				for ; credit >= 1; credit-- {
-					b.Request(now)
+					b.Request(now, true)
 					requests[tick]++
 					want += wanted
 				}
@@ -124,7 +124,7 @@
 	f := newFleet(20, rand.New(rand.NewPCG(1, 1)))
 	now := time.Second
 	for range 10 {
-		f.budgets[0].Request(now)
+		f.budgets[0].Request(now, true)
 	}
 	f.hear(now)
 	spent := 0
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -11,11 +11,11 @@
 const callsPerRepeat = 1.5
 
 // countRequest counts a request of a caller.
-func (f *Forwarder) countRequest(service string) {
+func (f *Forwarder) countRequest(service string, repeatable bool) {
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Request(now)
+	f.budget(service).Request(now, repeatable)
 }
 
 // takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did. Runs of repeatable requests
@@ -56,13 +56,16 @@
 	}
 }
 
-// perSecond returns the number of requests of a service per second, over the part of the fleet that is heard.
-func (f *Forwarder) perSecond(service string) float64 {
+// repeatablePerSecond returns the number of repeatable requests of a service per second, over the part of the fleet that
+// is heard. Their share is taken to be the same everywhere.
+func (f *Forwarder) repeatablePerSecond(service string) float64 {
 	others, _ := f.options.Conditions.Repeats(service)
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(service).Usage(now).Add(others).Requests / f.options.Budget.Window.Seconds()
+	own := f.budget(service).Usage(now)
+	share := own.Repeatable / max(own.Requests, 1)
+	return share * own.Add(others).Requests / f.options.Budget.Window.Seconds()
 }
 
 // repeats returns how many repeats of a service the fleet may still make, and how many it may make in all.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -29,8 +29,8 @@
 	// exploreReserve is the share of the fleet's budget that must be left for a request to probe an endpoint, or for a
 	// second attempt beside a slow one. The rest is kept for requests whose endpoint fails unexpectedly.
 	exploreReserve = 0.4
-	// exploreTime is the time that must be left, in units of the usual service time.
-	exploreTime = 4
+	// exploreTime is the time that must be left, in units of the usual service time: for the probe and another attempt.
+	exploreTime = 2
 )
 
 // pick is a chosen endpoint.
@@ -68,7 +68,7 @@
 		Usual:         placement.Usual(candidates),
 	}
 	r.RepeatsScarce = !f.repeatsToSpare(fl.request.service)
-	r.PerSecond = f.perSecond(fl.request.service)
+	r.PerSecond = f.repeatablePerSecond(fl.request.service)
 	r.MayExplore = fl.mayExplore(r.Usual)
 	f.mu.Lock()
 	n, reason := placement.Choose(f.rng, r, candidates)
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -123,7 +123,7 @@
 	}
 	r.body = body
 	r.head = relay.RequestHead(&c.Request)
-	f.countRequest(r.service)
+	f.countRequest(r.service, r.repeatable())
 	return r, nil
 }
 
