--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,7 +41,7 @@
 	Repeatable bool
 	// Large requests move many bytes, so that they stay in their zone while it has room.
 	Large bool
-	// MayExplore allows an endpoint that is not the best one, because a failure can be made good by another attempt.
+	// MayExplore allows an endpoint that is not the best one, because there is time to make good a failure.
 	MayExplore bool
 	// RepeatsScarce is set while little is left of the retry budget, so that a failure will hardly be made good.
 	RepeatsScarce bool
@@ -76,8 +76,6 @@
 	minFree = 0.2
 	// doubtful is the probability of failing from which an endpoint's free slots do not count.
 	doubtful = 0.3
-	// exploreAfter is the time without outcomes after which an endpoint is worth a probe while repeats are to spare.
-	exploreAfter = 350 * time.Millisecond
 	// Whatever is left of the retry budget, an endpoint without outcomes is probed at probeRate per second by all nodes
 	// together, so that one that has recovered sees requests again within about two seconds. Probes begin after quietAfter,
 	// or after failingAfter, the least time in which it may have recovered, if the endpoint fails with a probability above
@@ -152,11 +150,10 @@
 	return chosen, ReasonBest
 }
 
-// explore picks at random one of the endpoints about which nothing was heard lately. Most requests may go to those that
-// are probably sound while repeats are to spare; otherwise only as many as are needed to hear of each one now and then.
+// explore picks at random one of the endpoints about which nothing was heard lately. Probes cost repeats, so that only as
+// many requests are used as are needed to hear of each endpoint now and then.
 func explore(rng *rand.Rand, r Request, candidates []Candidate) int {
-	spare, due := -1, -1
-	spareSeen, rate := 0, 0.0
+	due, rate := -1, 0.0
 	for n := range candidates {
 		c := &candidates[n]
 		if c.Tried || c.Sent > 0 || c.free() < 1 || c.PathProbability > exploreMaxPath || (r.Large && c.OtherZone) {
@@ -167,16 +164,11 @@
 				due = n
 			}
 		}
-		if c.FailProbability <= exploreMaxFail && c.SinceOutcome >= exploreAfter && !r.RepeatsScarce {
-			if spareSeen++; rng.IntN(spareSeen) == 0 {
-				spare = n
-			}
-		}
 	}
-	if due >= 0 && rng.Float64()*r.PerSecond < rate {
-		return due
+	if rng.Float64()*r.PerSecond >= rate {
+		return -1
 	}
-	return spare
+	return due
 }
 
 // probeRate is the number of probes per second that the candidate should get from all nodes together.
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -42,8 +42,6 @@
 	promptShare = 0.35
 	// doubt is the probability of failing from which a change is told to the other nodes at once.
 	doubt = 0.15
-	// worthTelling is the rise of the probability of failing that is told at once.
-	worthTelling = 0.1
 	// suspectFrom is the probability of failing from which waiting requests are sent back, so that they can be placed
 	// elsewhere. They are not if the service fails as a whole, that is, if half of the other endpoints are beyond
 	// soundUpTo.
@@ -76,9 +74,7 @@
 	routes   map[string]time.Duration
 	outcome  time.Duration
 	observed bool
-	// told is the probability of failing when the other nodes were last told at once, and toldAt that time.
-	told   float64
-	toldAt time.Duration
+	told     float64
 }
 
 func newEndpoint(d *Dispatcher, id string) *endpoint {
@@ -315,7 +311,7 @@
 	if o == faultfilter.Success {
 		e.learnTime(r.Route, took)
 	}
-	changed := e.shifted(now) || (o != faultfilter.Success && e.worsened(now))
+	changed := e.shifted(now) || o != faultfilter.Success
 	e.mu.Unlock()
 	if changed {
 		e.dispatcher.options.Changed()
@@ -356,18 +352,7 @@
 			"service_ms": e.mean.Milliseconds(),
 		},
 	})
-	e.told, e.toldAt = p, now
-	return true
-}
-
-// worsened reports whether the endpoint now looks worse than the other nodes assume. The next failure of one that is known
-// to fail tells them nothing; it goes out with the periodic reports. The caller holds the lock.
-func (e *endpoint) worsened(now time.Duration) bool {
-	p := e.filter.Probability(now)
-	if p-faultfilter.Project(e.told, now-e.toldAt) < worthTelling {
-		return false
-	}
-	e.told, e.toldAt = p, now
+	e.told = p
 	return true
 }
 
@@ -412,5 +397,5 @@
 		e.sendBack()
 	}
 	e.advance(now)
-	return e.shifted(now) || (stalled && e.worsened(now))
+	return e.shifted(now) || stalled
 }
