Wait in one place, count retries by their reason, build the programs of tests in one place

The life cycle's interruptible wait of pkg/node was a copy of clock.Sleep; the retry metric of pkg/forward named every reason endpoint-error, though the log line had the true one; two TestMains built the programs in the same way.

--- a/bench/processes/binaries.go
+++ b/bench/processes/binaries.go
@@ -66,3 +66,21 @@
 func Built(dir string) *Binaries {
 	return &Binaries{dir: dir}
 }
+
+// RunWith builds the programs into a directory that is removed afterwards, hands them over, and runs. It returns the exit
+// code, for a TestMain.
+func RunWith(use func(*Binaries), run func() int) int {
+	dir, err := os.MkdirTemp("", "agatepulley-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries, err := Build(context.Background(), dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	use(binaries)
+	return run()
+}
--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -21,21 +20,7 @@
 var binaries *processes.Binaries
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "agatepulley-scenario-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binaries, err = processes.Build(context.Background(), dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(processes.RunWith(func(b *processes.Binaries) { binaries = b }, m.Run))
 }
 
 // play runs a scenario and checks its safety: no wrong response, nothing run twice, no run behind a not-run answer, no
--- a/bench/soak/cmd/main.go
+++ b/bench/soak/cmd/main.go
@@ -22,7 +22,7 @@
 	Parallel int           `long:"parallel" default:"2" description:"fleets at the same time"`
 	Hosts    int           `long:"hosts" default:"6" description:"nodes of a fleet"`
 	Duration time.Duration `long:"duration" default:"10s" description:"time in which faults start"`
-	Dir      string        `long:"dir" description:"directory for logs; they are kept for seeds that fail" default:"soak-logs"`
+	Dir      string        `long:"dir" description:"directory for logs; they are kept for seeds that fail" default:"out/soak"`
 }
 
 func main() {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -21,21 +21,7 @@
 var binaries *processes.Binaries
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "agatepulley-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binaries, err = processes.Build(context.Background(), dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(processes.RunWith(func(b *processes.Binaries) { binaries = b }, m.Run))
 }
 
 // keptSeeds returns the seeds that are played in CI: each that ever failed, with the number of hosts.
@@ -66,6 +52,7 @@
 func TestKeptSeeds(t *testing.T) {
 	for _, plan := range keptSeeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", plan.Seed), func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
 			defer cancel()
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -54,6 +54,14 @@
 	failure *outcome.Error
 }
 
+// reason says why the attempt did not serve the request.
+func (r *result) reason() outcome.Reason {
+	if r.failure != nil {
+		return r.failure.Reason
+	}
+	return outcome.ReasonServerError
+}
+
 // flight is a request on its way, over all its attempts. It belongs to one goroutine.
 type flight struct {
 	forwarder *Forwarder
@@ -211,8 +219,9 @@
 	if len(fl.open) > 0 || !fl.repeatable() || fl.ran() >= fl.request.route.Attempts || !fl.pay() {
 		return false
 	}
-	fl.forwarder.options.Metrics.Retried(fl.request.service, outcome.ReasonServerError)
-	fl.record("retry", fl.cause(got))
+	cause := got.reason()
+	fl.forwarder.options.Metrics.Retried(fl.request.service, cause)
+	fl.record("retry", string(cause))
 	return true
 }
 
@@ -238,13 +247,6 @@
 	return fl.arrived - fl.rejections
 }
 
-func (fl *flight) cause(got result) string {
-	if got.failure != nil {
-		return string(got.failure.Reason)
-	}
-	return string(outcome.ReasonServerError)
-}
-
 // pay takes a repeat from the budget.
 func (fl *flight) pay() bool {
 	paid := fl.forwarder.takeRepeat(fl.request.service, fl.repeatable())
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/quarantine"
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/news"
@@ -130,7 +131,7 @@
 		if l.node.syncer.Reads() {
 			revision = l.watch(ctx, revision)
 		}
-		pause(ctx, listPause(started, revision))
+		clock.Sleep(ctx, listPause(started, revision))
 	}
 }
 
@@ -181,12 +182,3 @@
 		l.node.publish(news.KindHost, host.ID, state, nil)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/node/suspects.go
+++ b/pkg/node/suspects.go
@@ -122,7 +122,7 @@
 // run forgets old fingerprints until the context ends.
 func (s *suspects) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expirePeriod)
+		clock.Sleep(ctx, expirePeriod)
 		s.expire()
 	}
 }
