--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -230,6 +230,9 @@
 }
 
 func (x *faults) hangup(h *host, _ time.Duration, _ int) {
+	if !x.fleet.ready(h) {
+		return // A process that has just been started has no handler yet and ends.
+	}
 	defer x.begin(h.number, true, "hangup")()
 	x.fail(x.fleet.writeSettings(h))
 	if err := syscall.Kill(h.process.PID(), syscall.SIGHUP); err != nil && !errors.Is(err, os.ErrProcessDone) {
