Take requests late in a planned stop only if they can be finished

Fewer than half of the zone's nodes were ready, so callers were not led elsewhere and kept coming. Ruled out: the endpoint (still at work) and the path (answers of other requests arrived).

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -77,7 +77,7 @@
 	options  Options
 	ids      *attempts.IDs
 	stats    transport.Stats
-	closing  atomic.Bool
+	closing  atomic.Pointer[closing]
 	inFlight atomic.Int64
 
 	mu      sync.Mutex
@@ -120,9 +120,20 @@
 	return kernel.AwaitClosed(ctx, f.done, "connections to other nodes")
 }
 
-// Close tells callers from now on to close their connections.
-func (f *Forwarder) Close() {
-	f.closing.Store(true)
+// closing is how a planned stop proceeds: requests that arrive after lateFrom are taken only if their deadline is not after
+// end, at which the process ends.
+type closing struct{ lateFrom, end time.Time }
+
+// Close tells callers from now on to close their connections. Requests that arrive after lateFrom and may take until after
+// end are refused, so that the end cuts none of them.
+func (f *Forwarder) Close(lateFrom, end time.Time) {
+	f.closing.Store(&closing{lateFrom: lateFrom, end: end})
+}
+
+// tooLate reports whether a request has arrived too late in a planned stop to be finished for sure.
+func (f *Forwarder) tooLate(r *request) bool {
+	c := f.closing.Load()
+	return c != nil && r.arrived.After(c.lateFrom) && r.deadline.After(c.end)
 }
 
 // InFlight returns the number of requests of callers that are being served.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -122,6 +122,9 @@
 		return r, relay.BodyFailure(stepBody, err)
 	}
 	r.body = body
+	if f.tooLate(r) {
+		return r, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLeaving, stepAccept, "", nil)
+	}
 	r.head = relay.RequestHead(&c.Request)
 	f.countRequest(r.service, r.repeatable())
 	return r, nil
@@ -187,7 +190,7 @@
 
 // identify sets what every response to a caller carries.
 func (f *Forwarder) identify(c *app.RequestContext) {
-	if f.closing.Load() {
+	if f.closing.Load() != nil {
 		c.Response.SetConnectionClose()
 	}
 }
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -15,6 +15,9 @@
 	stopReserve = time.Second
 	// stopMargin keeps the end of the process before the moment at which it would be killed.
 	stopMargin = 100 * time.Millisecond
+	// lateShare is the part of the stop timeout after which only requests are taken that will have ended in time whatever
+	// happens. Callers that could go elsewhere have been led there by then.
+	lateShare = 0.5
 )
 
 // stop ends the node without cutting requests. It takes no more work for its endpoint, serves callers that keep arriving
@@ -23,7 +26,8 @@
 	m.life.Fire(lifecycle.Stop)
 	m.dispatcher.Leave()
 	m.reports.Notify()
-	m.forwarder.Close()
+	timeout := m.settings.Load().StopTimeout
+	m.forwarder.Close(time.Now().Add(time.Duration(lateShare*float64(timeout))), time.Now().Add(timeout-2*stopMargin))
 	m.awaitQuiet()
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
 	defer cancel()
