--- /dev/null
+++ b/pkg/hop/hop_test.go
@@ -0,0 +1,43 @@
+package hop_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/hop"
+)
+
+// Guards against a description that loses a field on its way to the owner.
+func TestDescriptionSurvivesItsHeaders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := hop.Meta{
+		RequestID: "r1", Attempt: "a1", Service: "desk", Endpoint: "e1", Route: "book", Key: "k", Fingerprint: "f",
+		Repeatable: true, Long: true, MaxWait: 80 * time.Millisecond, Remaining: 1500 * time.Millisecond, Priority: 2,
+		CallerService: "scan",
+	}
+	var h protocol.RequestHeader
+	sent.Write(&h)
+	got, err := hop.Read(&h)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*got).To(gomega.Equal(sent))
+	sent.MaxWait = 0
+	sent.Write(&h)
+	got, err = hop.Read(&h)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.MaxWait).To(gomega.BeZero())
+}
+
+// Guards against a malformed wait that counts as none, which would let the request wait at a busy owner.
+func TestMalformedWaitIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := hop.Meta{Attempt: "a", Endpoint: "e"}
+	var h protocol.RequestHeader
+	m.Write(&h)
+	h.Set(outcome.HeaderHopClass, "short,max-wait-ms=soon")
+	_, err := hop.Read(&h)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(outcome.HeaderHopClass)))
+}
