Work out what a probe costs only for requests that may probe

Each choice asked all hosts' reports twice for the repeats left and the rate of repeatable requests, also for requests that never probe. Only the probes of core/placement use them, and only if MayExplore is set, so the choices are the same.

--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -67,9 +67,10 @@
 		TargetLatency: fl.request.route.TargetLatency,
 		Usual:         placement.Usual(candidates),
 	}
-	r.RepeatsScarce = !f.repeatsToSpare(fl.request.service)
-	r.PerSecond = f.repeatablePerSecond(fl.request.service)
-	r.MayExplore = fl.mayExplore(r.Usual)
+	if r.MayExplore = fl.mayExplore(r.Usual); r.MayExplore {
+		r.RepeatsScarce = !f.repeatsToSpare(fl.request.service)
+		r.PerSecond = f.repeatablePerSecond(fl.request.service)
+	}
 	f.mu.Lock()
 	n, reason := placement.Choose(f.rng, r, candidates)
 	f.mu.Unlock()
