Read reports without trusting what they announce, hear nodes whose clock was set back

Cause: a datagram of a few bytes whose list announces four billion endpoints ended the process ("runtime: out of memory"): the library's bound on lists has no effect when it grows a slice by reflection. Found by a fuzz test that plays what operators of similar systems reported (one malformed message took a process down).

Change: reports are read field by field, with bounds on texts and lists. A report with a lower incarnation is taken once the known process has been silent for longer than a datagram can be under way. Locks are released when a report panics.

--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -62,9 +63,88 @@
 	return b.Bytes(), nil
 }
 
-// decode reads a datagram.
+// decode reads a datagram. It reserves no memory for what a datagram announces and does not hold.
 func (r *Report) decode(datagram []byte) error {
-	return msgpack.Unmarshal(datagram, r)
+	f := fieldReader{decoder: msgpack.NewDecoder(bytes.NewReader(datagram))}
+	f.array("report", reportFields)
+	*r = Report{
+		Zone: f.text(), Incarnation: f.unsigned(), Sequence: f.unsigned(), Leaving: f.flag(), ConfigVersion: f.unsigned(),
+		Revision: f.unsigned(), Digest: f.unsigned(), StoreMS: f.integer(), HeardMS: f.integer(),
+	}
+	for range f.list() {
+		f.array("endpoint", endpointFields)
+		r.Endpoints = append(r.Endpoints, Endpoint{
+			ID: f.text(), FailPerMille: f.integer(), Busy: f.integer(), Queued: f.integer(), Slots: f.integer(),
+			ServiceMS: f.integer(), OutcomeMS: f.integer(),
+		})
+	}
+	for range f.list() {
+		f.array("repeats", repeatsFields)
+		r.Repeats = append(r.Repeats, Repeats{Service: f.text(), Requests: f.integer(), Repeats: f.integer()})
+	}
+	return f.err
+}
+
+const (
+	// Numbers of fields of the structures, which are encoded as arrays.
+	reportFields   = 11
+	endpointFields = 7
+	repeatsFields  = 3
+	// maxText bounds the length of a name.
+	maxText = 255
+	// maxListed bounds the elements of a list. A node has one endpoint or two, and requests for a few services.
+	maxListed = 128
+)
+
+// fieldReader reads the fields of a datagram in their order. After an error all further ones are zero.
+type fieldReader struct {
+	decoder *msgpack.Decoder
+	err     error
+}
+
+func read[T any](f *fieldReader, decode func() (T, error)) T {
+	var value T
+	if f.err == nil {
+		value, f.err = decode()
+	}
+	return value
+}
+
+func (f *fieldReader) integer() int     { return read(f, f.decoder.DecodeInt) }
+func (f *fieldReader) unsigned() uint64 { return read(f, f.decoder.DecodeUint64) }
+func (f *fieldReader) flag() bool       { return read(f, f.decoder.DecodeBool) }
+
+func (f *fieldReader) text() string {
+	return string(read(f, func() ([]byte, error) {
+		n, err := f.decoder.DecodeBytesLen()
+		if err != nil || n <= 0 {
+			return nil, err
+		}
+		if n > maxText {
+			return nil, fmt.Errorf("text announces %d bytes, at most %d are allowed", n, maxText)
+		}
+		text := make([]byte, n)
+		return text, f.decoder.ReadFull(text)
+	}))
+}
+
+// array checks the number of fields of a structure.
+func (f *fieldReader) array(name string, fields int) {
+	if n := read(f, f.decoder.DecodeArrayLen); f.err == nil && n != fields {
+		f.err = fmt.Errorf("%s has %d fields, not %d", name, n, fields)
+	}
+}
+
+// list returns the number of elements of a list.
+func (f *fieldReader) list() int {
+	n := read(f, f.decoder.DecodeArrayLen)
+	if n > maxListed {
+		f.err = fmt.Errorf("list announces %d elements, at most %d are allowed", n, maxListed)
+	}
+	if f.err != nil {
+		return 0
+	}
+	return max(n, 0)
 }
 
 // Known is the latest report on an endpoint, with the time at which it was received.
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -1,6 +1,8 @@
 package reports
 
 import (
+	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -42,6 +44,68 @@
 	g.Expect(known.Endpoint).To(gomega.Equal(Endpoint{ID: "e", FailPerMille: 20, ServiceMS: 300, OutcomeMS: 5}))
 }
 
+// Guards against a node that nobody hears after its restart, because the time of day was set back in between, and against
+// delayed datagrams of its predecessor.
+func TestRestartAfterTheClockWasSetBackIsHeard(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := &manualClock{now: time.Minute}
+	s := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "medeu", Clock: now, Observe: func(string, *Report) {}})
+	from := netip.MustParseAddrPort("10.0.0.2:7000")
+	before := sample()
+	before.Leaving = true
+	s.take(from, &before)
+	after := sample()
+	after.Incarnation -= uint64(10 * time.Second)
+	after.Sequence = 1
+	now.now += 100 * time.Millisecond
+	s.take(from, &after)
+	g.Expect(s.Incarnation("10.0.0.2")).To(gomega.Equal(before.Incarnation), "it may have been delayed")
+	now.now += maxDatagramDelay
+	after.Sequence = 2
+	s.take(from, &after)
+	g.Expect(s.Incarnation("10.0.0.2")).To(gomega.Equal(after.Incarnation))
+	_, leaving := s.Path("10.0.0.2")
+	g.Expect(leaving).To(gomega.BeFalse())
+}
+
+type manualClock struct{ now time.Duration }
+
+func (c *manualClock) Now() time.Duration { return c.now }
+
+// Guards against a datagram that ends the process or makes it reserve memory for what it only announces.
+func FuzzReport(f *testing.F) {
+	whole := sample()
+	datagram, err := whole.encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(datagram)
+	f.Add([]byte{})
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	// An array of all fields whose list of endpoints announces four billion entries.
+	endless, err := (&Report{Zone: "medeu"}).encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append(endless[:len(endless)-2:len(endless)-2], 0xdd, 0xff, 0xff, 0xff, 0xff))
+	f.Add(append(endless[:len(endless)-2:len(endless)-2], 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var r Report
+		if r.decode(datagram) == nil {
+			s := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "medeu", Clock: &manualClock{now: time.Minute}, Observe: func(string, *Report) {}})
+			s.take(netip.MustParseAddrPort("10.0.0.2:7000"), &r)
+			s.Path("10.0.0.2")
+			s.Repeats("huvo11a")
+		}
+		runtime.ReadMemStats(&after)
+		if grown := after.TotalAlloc - before.TotalAlloc; grown > 64<<10 {
+			t.Errorf("a datagram of %d bytes took %d bytes of memory", len(datagram), grown)
+		}
+	})
+}
+
 const every = 300 * time.Millisecond
 
 // Guards against a path that counts as sound although nothing comes back, and against one that is given up over a single
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -15,6 +15,7 @@
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/kernel"
 )
 
@@ -34,6 +35,8 @@
 	forgetAfter = 10 * time.Second
 	// liveIntervals is the silence, in intervals, up to which a host counts as a live member of the fleet.
 	liveIntervals = 5
+	// maxDatagramDelay is the longest time for which a datagram may be under way.
+	maxDatagramDelay = time.Second
 	// maxDatagram bounds a report. A node has one endpoint, two while it is replaced.
 	maxDatagram = 8 << 10
 	// stepPath names decisions on paths in the log.
@@ -107,8 +110,8 @@
 	s.conn, s.started = conn, s.options.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.tasks.Go(s.receive)
-	s.tasks.Go(func() { s.send(ctx) })
+	s.tasks.Go(func() { guard.Duty(ctx, s.options.Logger, "report receiver", s.receive) })
+	s.tasks.Go(func() { guard.Duty(ctx, s.options.Logger, "report sender", func() { s.send(ctx) }) })
 	return nil
 }
 
@@ -333,18 +336,21 @@
 
 func (s *Service) take(from netip.AddrPort, r *Report) {
 	ip := from.Addr().Unmap().String()
+	if s.record(ip, r) {
+		s.options.Observe(net.JoinHostPort(ip, strconv.Itoa(s.options.Port)), r)
+	}
+}
+
+// record keeps a report. It returns false for one that is older than what is known.
+func (s *Service) record(ip string, r *Report) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	h := s.host(ip)
-	if h == nil || r.Incarnation < h.report.Incarnation {
-		s.mu.Unlock()
-		return
-	}
-	restarted := r.Incarnation > h.report.Incarnation
-	if !restarted && r.Sequence <= h.path.sequence {
-		s.mu.Unlock()
-		return
+	if h == nil || h.outdated(now, r) {
+		return false
 	}
+	restarted := r.Incarnation != h.report.Incarnation
 	if restarted {
 		h.local.Reset()
 	}
@@ -353,8 +359,20 @@
 	for _, e := range r.Endpoints {
 		s.endpoints[e.ID] = s.endpoints[e.ID].update(e, now)
 	}
-	s.mu.Unlock()
-	s.options.Observe(net.JoinHostPort(ip, strconv.Itoa(s.options.Port)), r)
+	return true
+}
+
+// outdated reports whether a report was sent before the latest one of the host. Incarnations are times of day, which may
+// have been set back before a restart: once the known process has been silent for so long that none of its reports can
+// still be under way, a lower one is that of its successor.
+func (h *host) outdated(now time.Duration, r *Report) bool {
+	switch {
+	case r.Incarnation == h.report.Incarnation:
+		return r.Sequence <= h.path.sequence
+	case r.Incarnation > h.report.Incarnation:
+		return false
+	}
+	return now-h.path.heardAt < maxDatagramDelay
 }
 
 func (s *Service) send(ctx context.Context) {
@@ -382,7 +400,21 @@
 		body []byte
 	}
 	var due []datagram
+	s.eachDue(func(h *host, r Report) {
+		if body, err := r.encode(); err == nil {
+			due = append(due, datagram{h.address, body})
+		}
+	}, shared)
+	for _, d := range due {
+		// A datagram that cannot be sent is like one that got lost: the receiver notices the silence.
+		_, _ = s.conn.WriteToUDPAddrPort(d.body, d.to)
+	}
+}
+
+// eachDue calls f with each host to which a report is due, and that report.
+func (s *Service) eachDue(f func(h *host, r Report), shared Report) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
 	for ip, h := range s.hosts {
 		if !h.listed && now-h.path.heardAt > forgetAfter {
@@ -401,14 +433,7 @@
 		if h.path.ever {
 			r.HeardMS = int((now - h.path.heardAt).Milliseconds())
 		}
-		if body, err := r.encode(); err == nil {
-			due = append(due, datagram{h.address, body})
-		}
-	}
-	s.mu.Unlock()
-	for _, d := range due {
-		// A datagram that cannot be sent is like one that got lost: the receiver notices the silence.
-		_, _ = s.conn.WriteToUDPAddrPort(d.body, d.to)
+		f(h, r)
 	}
 }
 
