Believe a rejection without an id only on a fresh connection, bound what is read of endless bytes

Cause: a late copy of an earlier rejection, arriving while the next request runs on the same connection, counted as the rejection of that request: it was sent to a second endpoint and ran twice (seen in the new spec, 2 runs instead of 1).

Change: a rejection that names no request is taken for "not run" only on a connection that has carried no other request; otherwise the outcome is unknown and the connection is closed.

Tests: the spec above failed before. TestEndlessBytesAreBounded plays bytes without end in heads, bodies, interim responses, chunk sizes and trailers, fast and trickling, on the connection; a spec plays an endless answer through the whole path. Those found nothing further.

--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,9 +15,6 @@
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
-// maxRejectionBytes bounds the body of a rejection, which is read so that the connection can be used again.
-const maxRejectionBytes = 64 << 10
-
 var errLateResponse = errors.New("the deadline passed while the process did not run")
 
 // dispatch sends a request that holds a slot to the endpoint and waits for the head of the response.
@@ -80,10 +76,18 @@
 	names := e.dispatcher.options.Headers
 	status := response.Head.StatusCode()
 	signed := response.Head.Header.Get(names.Signature) != ""
+	anonymous := response.Head.Header.Get(names.RequestID) == ""
+	rejection := response.Head.Header.Get(names.NotRun) != "" || status == http.StatusMisdirectedRequest
 	switch {
-	case response.Head.Header.Get(names.NotRun) != "" || status == http.StatusMisdirectedRequest:
+	case rejection && anonymous && response.Reused():
+		// It may be a late copy of the rejection of an earlier request.
+		response.Abort(errors.New("the rejection names no request"))
+		response.Close()
+		e.learn(r, faultfilter.Failure, took)
+		return nil, outcome.Lose(http.StatusBadGateway, outcome.ReasonAnswerMismatch, stepDispatch, e.id, nil)
+	case rejection:
 		return nil, e.rejected(r, response, status, took)
-	case !signed || response.Head.Header.Get(names.RequestID) == "":
+	case !signed || anonymous:
 		response.Abort(errors.New("the answer is not signed"))
 		response.Close()
 		e.learn(r, faultfilter.Failure, 0)
@@ -116,8 +120,7 @@
 
 // rejected records that the endpoint did not run the request.
 func (e *endpoint) rejected(r *Request, response *transport.Response, status int, took time.Duration) *outcome.Error {
-	_, _ = io.CopyN(io.Discard, response.Body, maxRejectionBytes)
-	response.Close()
+	response.Discard()
 	reason := outcome.ReasonRejected
 	if status == http.StatusMisdirectedRequest {
 		reason = outcome.ReasonMisdirected
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -26,6 +26,8 @@
 const (
 	// maxStrayResponses bounds the responses to other requests that are skipped on one connection.
 	maxStrayResponses = 3
+	// maxStrayBytes bounds the body of each. Bytes may come without end.
+	maxStrayBytes = 1 << 20
 	// maxInterimResponses bounds the 1xx responses accepted before the final one.
 	maxInterimResponses = 8
 	// maxChunkRead stays below the read buffer, since the chunk decoder peeks what it reads.
@@ -108,7 +110,7 @@
 			}
 			return p.newResponse(head), nil
 		}
-		if _, err := io.Copy(io.Discard, p.newResponse(head).Body); err != nil {
+		if err := p.skipStray(head); err != nil {
 			p.abandon()
 			return nil, p.fail(StepRead, err)
 		}
@@ -117,6 +119,19 @@
 	return nil, p.fail(StepRead, ErrStray)
 }
 
+// skipStray reads over the body of a response to another request.
+func (p *Pending) skipStray(head *protocol.Response) error {
+	body := p.newResponse(head).Body
+	skipped, err := io.CopyN(io.Discard, body, maxStrayBytes)
+	switch {
+	case skipped == maxStrayBytes:
+		return fmt.Errorf("%w, one has more than %d bytes", ErrStray, maxStrayBytes)
+	case err == io.EOF:
+		return nil
+	}
+	return err
+}
+
 func (p *Pending) readHead(head *protocol.Response) error {
 	for range maxInterimResponses {
 		if err := resp.ReadHeader(&head.Header, p.conn); err != nil {
@@ -191,6 +206,11 @@
 	onClose []func()
 }
 
+// Reused reports whether the connection had carried earlier requests, of which late responses may arrive.
+func (r *Response) Reused() bool {
+	return r.pending.conn.reused
+}
+
 // Broken reports whether the sender ended the body early. It is false if the exchange was aborted from this side.
 func (r *Response) Broken() bool {
 	return r.broken
@@ -213,6 +233,16 @@
 	r.pending.abort(cause)
 }
 
+// Discard closes the response without waiting for its body. The connection can be used again if the rest of the body has
+// arrived already.
+func (r *Response) Discard() {
+	if r.Length >= 0 && r.Length <= int64(r.pending.conn.Len()) {
+		// The bytes are in memory. What cannot be read costs only the connection.
+		_, _ = io.CopyN(io.Discard, r.Body, r.Length)
+	}
+	r.Close()
+}
+
 // Close returns the connection to its pool if the body was read to its end and closes it otherwise.
 func (r *Response) Close() {
 	if r.closed {
