Keep panics in their request or duty, let planned stops wait for requests that are arriving

Change: pkg/guard turns panics into errors of a request and starts duties again; pkg/socket looks at the state of sockets. A stop accepts what waits before the listener closes, and leaves connections alone on which bytes arrived lately or wait to be read. Panics are logged with their stack and counted (agatepulley_panics).

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonAnswerMismatch  Reason = "answer-mismatch"
 	ReasonUnknownEndpoint Reason = "unknown-endpoint"
 	ReasonSuspect         Reason = "endpoint-suspect"
+	ReasonInternal        Reason = "internal-error"
 	ReasonRejected        Reason = "endpoint-rejected"
 	ReasonMisdirected     Reason = "endpoint-replaced"
 	ReasonServerError     Reason = "endpoint-error"
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -14,6 +14,7 @@
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/peer"
 )
@@ -111,12 +112,16 @@
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.tasks.Go(func() { s.readConfiguration(ctx) })
-	s.tasks.Go(func() { s.readEndpoints(ctx) })
-	s.tasks.Go(func() { s.expire(ctx) })
+	s.start(ctx, "configuration reader", s.readConfiguration)
+	s.start(ctx, "endpoint reader", s.readEndpoints)
+	s.start(ctx, "endpoint expiry", s.expire)
 	return nil
 }
 
+func (s *Service) start(ctx context.Context, name string, duty func(ctx context.Context)) {
+	s.tasks.Go(func() { guard.Duty(ctx, s.options.Logger, name, func() { duty(ctx) }) })
+}
+
 // Stop ends the duties.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
@@ -156,18 +161,27 @@
 	return summary
 }
 
+// adopt puts a configuration in force if it is newer than the present one. It returns both tables, the new one being nil
+// if it is not.
+func (s *Service) adopt(c *routing.Config) (before, after *routing.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before = s.table.Load()
+	if before != nil && c.Version <= before.Version() {
+		return before, nil
+	}
+	after = routing.NewTable(c)
+	s.table.Store(after)
+	s.remember(c)
+	return before, after
+}
+
 // Offer puts a configuration in force if it is newer than the present one.
 func (s *Service) Offer(c *routing.Config, source string) {
-	s.mu.Lock()
-	current := s.table.Load()
-	if current != nil && c.Version <= current.Version() {
-		s.mu.Unlock()
+	current, table := s.adopt(c)
+	if table == nil {
 		return
 	}
-	table := routing.NewTable(c)
-	s.table.Store(table)
-	s.remember(c)
-	s.mu.Unlock()
 	cautions := c.Cautions()
 	s.cautions.Store(int64(len(cautions)))
 	for _, caution := range cautions {
@@ -234,7 +248,11 @@
 			clock.Sleep(ctx, farDelay)
 		}
 		if wanted() {
-			if err := fetch(ctx, address); err != nil {
+			var err error
+			if panicked := guard.Call(func() { err = fetch(ctx, address) }); panicked != nil {
+				err = panicked
+			}
+			if err != nil {
 				s.options.Logger.Warn("fetch from peer failed", "method", method, "peer", address, "error", err)
 			}
 		}
@@ -259,19 +277,24 @@
 	return s.registry.Snapshot(s.options.Clock.Now()), nil
 }
 
-// update applies a change to the registry and publishes the new view.
-func (s *Service) update(source string, change func(g *registry.Registry, now time.Duration) []registry.Change) {
+// apply applies a change to the registry. It returns the new view, or nil if nothing has changed.
+func (s *Service) apply(change func(g *registry.Registry, now time.Duration) []registry.Change) ([]registry.Change, *registry.View) {
 	s.mu.Lock()
-	now := s.options.Clock.Now()
-	changes := change(s.registry, now)
+	defer s.mu.Unlock()
+	changes := change(s.registry, s.options.Clock.Now())
 	s.revision.Store(s.registry.Revision())
-	var view *registry.View
-	if len(changes) > 0 {
-		view = s.registry.View()
-		s.view.Store(view)
-		s.digest.Store(s.registry.Digest())
+	if len(changes) == 0 {
+		return nil, nil
 	}
-	s.mu.Unlock()
+	view := s.registry.View()
+	s.view.Store(view)
+	s.digest.Store(s.registry.Digest())
+	return changes, view
+}
+
+// update applies a change to the registry and tells of it.
+func (s *Service) update(source string, change func(g *registry.Registry, now time.Duration) []registry.Change) {
+	changes, view := s.apply(change)
 	if view == nil {
 		return
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/dialect"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/relay"
@@ -34,6 +36,7 @@
 	Headers   dialect.Headers
 	Clock     clock.Clock
 	Decisions *decision.Recorder
+	Logger    *slog.Logger
 	View      func() *registry.View
 	// Peers returns the median condition of the other endpoints of a service, or false if there are none.
 	Peers func(service, except string) (reports.Endpoint, bool)
@@ -93,7 +96,10 @@
 func (d *Dispatcher) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	go d.watch(ctx)
+	go func() {
+		defer close(d.done)
+		guard.Duty(ctx, d.options.Logger, "endpoint watch", func() { d.watch(ctx) })
+	}()
 	return nil
 }
 
@@ -203,7 +209,14 @@
 	return response, failure
 }
 
-func (d *Dispatcher) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
+// run admits a request and sends it. A panic ends the request, which may have run.
+func (d *Dispatcher) run(ctx context.Context, r *Request) (response *transport.Response, failure *outcome.Error) {
+	defer func() {
+		if value := recover(); value != nil {
+			failure = outcome.Lose(http.StatusBadGateway, outcome.ReasonInternal, stepDispatch, r.Endpoint, guard.Recovered(value))
+			response = nil
+		}
+	}()
 	if d.Leaving() {
 		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
@@ -276,7 +289,6 @@
 const watchPeriod = 50 * time.Millisecond
 
 func (d *Dispatcher) watch(ctx context.Context) {
-	defer close(d.done)
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
 	for {
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -163,12 +163,16 @@
 	if failure := e.admit(ctx, r); failure != nil {
 		return nil, failure
 	}
+	answered := false
+	defer func() {
+		// Also after a panic, the slot must not stay occupied.
+		if !answered {
+			e.done(r.Attempt, notLearned)
+		}
+	}()
 	response, failure := e.dispatch(ctx, r)
-	if failure != nil {
-		e.done(r.Attempt, notLearned)
-		return nil, failure
-	}
-	return response, nil
+	answered = failure == nil
+	return response, failure
 }
 
 // notLearned is the service time of a request that ended without an answer. It says nothing about those to come.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -18,6 +19,7 @@
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/dialect"
 	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/reports"
@@ -70,6 +72,7 @@
 	Budget        retrybudget.Settings
 	Clock         clock.Clock
 	Decisions     *decision.Recorder
+	Logger        *slog.Logger
 	Metrics       *telemetry.Metrics
 }
 
@@ -108,7 +111,10 @@
 func (f *Forwarder) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	go f.maintain(ctx)
+	go func() {
+		defer close(f.done)
+		guard.Duty(ctx, f.options.Logger, "hop connections", func() { f.maintain(ctx) })
+	}()
 	return nil
 }
 
@@ -155,7 +161,6 @@
 )
 
 func (f *Forwarder) maintain(ctx context.Context) {
-	defer close(f.done)
 	ticker := time.NewTicker(maintainPeriod)
 	defer ticker.Stop()
 	for {
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -13,6 +13,7 @@
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/inquiry"
 	"agatepulley.example/agatepulley/pkg/relay"
@@ -33,8 +34,15 @@
 	bufferLimit = 1 << 20
 )
 
-// try makes an attempt and reads the beginning of the answer.
-func (f *Forwarder) try(ctx context.Context, cancel context.CancelFunc, r *request, p *pick) result {
+// try makes an attempt and reads the beginning of the answer. A panic ends the attempt, which may have run.
+func (f *Forwarder) try(ctx context.Context, cancel context.CancelFunc, r *request, p *pick) (got result) {
+	defer func() {
+		if value := recover(); value != nil {
+			cancel()
+			failure := outcome.Lose(http.StatusBadGateway, outcome.ReasonInternal, stepSend, p.host, guard.Recovered(value))
+			got = result{pick: p, failure: failure}
+		}
+	}()
 	response, failure := f.send(ctx, r, p)
 	if failure != nil {
 		cancel()
@@ -126,9 +134,8 @@
 		Outcome: told, Reason: outcome.Reason(header.Get(outcome.HeaderReason)), Status: response.Head.StatusCode(),
 		Step: stepSend, Peer: p.host,
 	}
-	// The body of a refusal is empty; what cannot be read costs only the connection.
-	_, _ = io.Copy(io.Discard, response.Body)
-	response.Close()
+	// The body of a refusal is empty. With one that is not, the connection is closed.
+	response.Discard()
 	if told != outcome.NotRun {
 		failure.Outcome = outcome.Unknown
 		failure.Status = max(failure.Status, http.StatusBadGateway)
--- /dev/null
+++ b/pkg/httpserver/server_test.go
@@ -0,0 +1,130 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/pkg/httpserver"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+)
+
+// hangGuard ends a test that would otherwise wait for ever. No verdict depends on its length.
+const hangGuard = 20 * time.Second
+
+func start(t *testing.T, handler app.HandlerFunc) *httpserver.Server {
+	t.Helper()
+	telemetry.RedirectHertzLog(slog.New(slog.DiscardHandler))
+	s := httpserver.New("127.0.0.1:0", handler, slog.New(slog.DiscardHandler))
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func dial(t *testing.T, s *httpserver.Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(hangGuard)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func get(conn net.Conn, path string) (int, error) {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return 0, err
+	}
+	return status(conn)
+}
+
+func status(conn net.Conn) (int, error) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// Guards against one request that takes the process down, and with it all others.
+func TestPanicEndsItsRequestOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := start(t, func(_ context.Context, c *app.RequestContext) {
+		if string(c.Path()) == "/panics" {
+			panic("unexpected header")
+		}
+		c.SetStatusCode(http.StatusNoContent)
+	})
+	other := dial(t, s)
+	g.Expect(get(other, "/works")).To(gomega.Equal(http.StatusNoContent))
+	g.Expect(get(dial(t, s), "/panics")).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(get(other, "/works")).To(gomega.Equal(http.StatusNoContent))
+	g.Expect(s.Stop(context.Background())).To(gomega.Succeed())
+}
+
+// Guards against a planned stop that closes a kept connection on which a request is just arriving.
+func TestStopWaitsForARequestThatHasBegunToArrive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := start(t, func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusNoContent) })
+	conn := dial(t, s)
+	g.Expect(get(conn, "/")).To(gomega.Equal(http.StatusNoContent))
+	// The connection is idle for longer than a stop leaves connections alone.
+	time.Sleep(700 * time.Millisecond)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHo")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(20 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(conn, "st: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status(conn)).To(gomega.Equal(http.StatusNoContent))
+	g.Eventually(stopped, hangGuard).Should(gomega.Receive(gomega.Succeed()))
+}
+
+// Guards against connections that were accepted, and whose first request is on its way, being reset by a stop.
+func TestStopAnswersWhatWasSentBeforeIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := start(t, func(_ context.Context, c *app.RequestContext) {
+		time.Sleep(50 * time.Millisecond)
+		c.SetStatusCode(http.StatusNoContent)
+	})
+	const callers = 50
+	results := make(chan error, callers)
+	sent := make(chan struct{}, callers)
+	for range callers {
+		go func() {
+			conn, err := net.Dial("tcp", s.Address())
+			if err == nil {
+				defer conn.Close()
+				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			}
+			sent <- struct{}{}
+			if err == nil {
+				_, err = status(conn)
+			}
+			results <- err
+		}()
+	}
+	for range callers {
+		<-sent
+	}
+	g.Expect(s.Stop(context.Background())).To(gomega.Succeed())
+	for range callers {
+		g.Expect(<-results).To(gomega.Succeed())
+	}
+}
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -98,7 +99,7 @@
 		})
 		o.Open()
 		f.owners[id] = o
-		hopAddress := startServer(t, httpserver.New(address(), o.ServeHop))
+		hopAddress := startServer(t, httpserver.New(address(), o.ServeHop, slog.New(slog.DiscardHandler)))
 		var ip string
 		var port int
 		_, err := fmt.Sscanf(hopAddress[len(hopAddress)-5:], "%d", &port)
@@ -118,7 +119,7 @@
 	in.Update(snapshot)
 	g.Expect(in.Start(context.Background())).To(gomega.Succeed())
 	t.Cleanup(func() { _ = in.Stop(context.Background()) })
-	f.url = "http://" + startServer(t, httpserver.New(address(), in.Serve))
+	f.url = "http://" + startServer(t, httpserver.New(address(), in.Serve, slog.New(slog.DiscardHandler)))
 	return f
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -22,6 +22,7 @@
 	"agatepulley.example/agatepulley/pkg/discovery"
 	"agatepulley.example/agatepulley/pkg/dispatch"
 	"agatepulley.example/agatepulley/pkg/forward"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/httpserver"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/lifecycle"
@@ -114,12 +115,12 @@
 		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
 	})
 	m.dispatcher = dispatch.New(dispatch.Options{
-		Backend: s.BackendAddress, Headers: site.Headers, Clock: m.clock, Decisions: m.decisions,
+		Backend: s.BackendAddress, Headers: site.Headers, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
 		View: m.discovery.View, Peers: m.medianCondition, Changed: m.reports.Notify,
 	})
 	m.forwarder = m.newForwarder(s, site)
-	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop)
-	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve)
+	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
+	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve, m.logger)
 	m.admin = admin.NewServer(s.AdminListen, admin.Sources{
 		Status: m, Readiness: m, Explainer: m.decisions, Metrics: tele.Handler(),
 	}, m.logger)
@@ -142,7 +143,7 @@
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
 		Inquirer: &inquirer{member: m}, Headers: site.Headers,
 		Budget: retrybudget.Settings{Ratio: s.RetryRatio, Constant: s.RetryConstant, Window: s.RetryWindow},
-		Clock:  m.clock, Decisions: m.decisions, Metrics: m.telemetry.Metrics(),
+		Clock:  m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: m.telemetry.Metrics(),
 	})
 }
 
@@ -180,8 +181,8 @@
 	}
 	m.life.Fire(lifecycle.Started)
 	var duties sync.WaitGroup
-	duties.Go(func() { m.join(ctx) })
-	duties.Go(func() { m.watchSettings(ctx) })
+	duties.Go(func() { guard.Duty(ctx, m.logger, "join", func() { m.join(ctx) }) })
+	duties.Go(func() { guard.Duty(ctx, m.logger, "settings watch", func() { m.watchSettings(ctx) }) })
 	<-ctx.Done()
 	duties.Wait()
 	return m.stop()
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -9,6 +9,7 @@
 	"agatepulley.example/agatepulley/core/configstate"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -84,6 +85,9 @@
 		metrics.ObserveGauge("agatepulley_configuration_unknown_values", "Values of the configuration in force that this release does not know.", func() float64 {
 			return float64(m.discovery.Cautions())
 		}),
+		metrics.ObserveGauge("agatepulley_panics", "Panics that were recovered.", func() float64 {
+			return float64(guard.Panics())
+		}),
 		metrics.ObserveGauge("agatepulley_uptime", "Seconds since the start of the process.", func() float64 {
 			return time.Since(m.started).Seconds()
 		}),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,8 +104,8 @@
 	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
-	n.hops = httpserver.New(s.HopListen, n.owner.ServeHop)
-	n.callers = httpserver.New(s.Listen, n.ingress.Serve)
+	n.hops = httpserver.New(s.HopListen, n.owner.ServeHop, n.logger)
+	n.callers = httpserver.New(s.Listen, n.ingress.Serve, n.logger)
 	n.admin = admin.NewServer(s.AdminListen, admin.Sources{
 		Status: n, Readiness: n, Explainer: n.decisions, Metrics: tele.Handler(),
 	}, n.logger)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"agatepulley.example/agatepulley/pkg/guard"
 )
 
 // Methods that this package handles itself.
@@ -59,6 +61,9 @@
 	}
 }
 
+// errInternal is what a peer is told of a panic, whose stack stays in the log.
+var errInternal = errors.New("internal error")
+
 func (s *Service) serve(connection net.Conn) {
 	s.mu.Lock()
 	if s.stopped || len(s.accepted) >= acceptLimit {
@@ -105,7 +110,10 @@
 	}
 	go func() {
 		defer func() { <-in.slots }()
-		in.respond(ctx, conn, request)
+		if err := guard.Call(func() { in.respond(ctx, conn, request) }); err != nil {
+			in.service.options.Logger.Error("peer call failed with a panic", "method", request.Method, "error", err)
+			in.service.replyError(ctx, conn, request.ID, errInternal)
+		}
 	}()
 }
 
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"agatepulley.example/agatepulley/pkg/socket"
 )
 
 const (
@@ -61,22 +63,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sysConn, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sysConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = peekErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && open
+	return socket.StateOf(c.raw) == socket.Idle
 }
 
 func (c *conn) close() {
