Bound what nodes exchange in fleets of hundreds, tell other zones of lost hosts

Each node read eight pages of endpoints at its start, one node of each of five zones watched the store, and every change made each node fetch the whole list.

Change: the own zone is watched at intervals that grow with the zone only. Reports name the hosts of their zone that are lost; two such words are believed in other zones. Two zones read the store; the contact with it is told on, so that the others know. At the first start of a fleet the reads are spread, and who hears from a peer first does not read. Endpoints travel as changes after a revision, compressed, and whole only if the digests then differ.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -45,8 +45,10 @@
 
 // Snapshot is what one node tells another about the registry.
 type Snapshot struct {
-	Revision uint64  `json:"revision"`
-	Entries  []Entry `json:"entries"`
+	Revision uint64 `json:"revision"`
+	// From, if not zero, says that only what has changed after that revision is listed.
+	From    uint64  `json:"from,omitempty"`
+	Entries []Entry `json:"entries"`
 }
 
 // Change is a difference that a registry has taken over.
@@ -59,6 +61,8 @@
 	// returnGrace is how long entries may be missing after the store has come back. The platform promises their return
 	// within about two seconds.
 	returnGrace = 2200 * time.Millisecond
+	// recentRemoval is the age up to which removals are told to other nodes whatever their revision.
+	recentRemoval = 10 * time.Second
 	// removedLifetime is how long removed entries are remembered, so that late news do not bring them back.
 	removedLifetime = 60 * time.Second
 )
@@ -154,6 +158,16 @@
 	return append(changes, g.Replace(now, s)...)
 }
 
+// MergeChanges takes over what another node has learned after a revision that this registry is complete up to.
+func (g *Registry) MergeChanges(now time.Duration, s Snapshot) []Change {
+	var changes []Change
+	for _, e := range s.Entries {
+		changes = g.put(changes, now, e)
+	}
+	g.revision = max(g.revision, s.Revision)
+	return changes
+}
+
 // Expire removes the entries whose removal was held back and that have not returned.
 func (g *Registry) Expire(now time.Duration) []Change {
 	var changes []Change
@@ -230,6 +244,18 @@
 	return s
 }
 
+// Since returns what has changed after a revision. Removals that were held back have taken effect later than their
+// revision says, so that recent ones are always listed.
+func (g *Registry) Since(now time.Duration, revision uint64) Snapshot {
+	s := g.Snapshot(now)
+	s.From = revision
+	s.Entries = slices.DeleteFunc(s.Entries, func(e Entry) bool {
+		recent := e.Gone && now-g.records[e.ID].removedAt < recentRemoval
+		return e.Revision <= revision && !recent
+	})
+	return s
+}
+
 // Digest identifies the state of all endpoints that are not gone. Nodes with equal digests have nothing to tell each
 // other.
 func (g *Registry) Digest() uint64 {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -60,6 +60,44 @@
 	})
 }
 
+// Guards against a node that fetches only what has changed and ends up with other endpoints than its peer: with one that
+// has left, or without one that has come.
+func TestChangesLeadToTheEndpointsOfThePeer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		source, copied := registry.New(), registry.New()
+		now, revision := time.Duration(0), uint64(1)
+		ids := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			revision++
+			switch rapid.SampledFrom([]string{"write", "write", "remove", "read", "away", "back", "sync"}).Draw(t, "step") {
+			case "write":
+				e := entry(ids.Draw(t, "id"), revision)
+				e.Draining = rapid.Bool().Draw(t, "draining")
+				source.Apply(now, read(revision, e))
+			case "remove":
+				e := entry(ids.Draw(t, "id"), revision)
+				e.Gone = true
+				source.Apply(now, read(revision, e))
+			case "read":
+				source.Replace(now, read(revision, entry(ids.Draw(t, "id"), revision)))
+			case "away":
+				source.StoreAway()
+			case "back":
+				source.StoreBack(now)
+			}
+			source.Expire(now)
+			if have := copied.Revision(); have > 0 {
+				copied.MergeChanges(now, source.Since(now, have))
+			} else {
+				copied.Merge(now, source.Snapshot(now))
+			}
+			g.Expect(copied.Digest()).To(gomega.Equal(source.Digest()))
+		}
+	})
+}
+
 // Guards against endpoints that are taken out because their entries lapsed while the store was away, and against
 // endpoints that stay although they did not return.
 func TestLapsedEntriesMayReturn(t *testing.T) {
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,11 @@
 	// takeoverStagger the further age for each rank.
 	takeoverAfter   = 800 * time.Millisecond
 	takeoverStagger = 200 * time.Millisecond
+	// readingZones is the number of zones in which a node reads the store all the time. A second one keeps changes coming
+	// when the first is cut off from the store.
+	readingZones = 2
+	// firstStartSpread is the time over which the nodes read the endpoints when the whole fleet starts.
+	firstStartSpread = 3 * time.Second
 	// unpublishedPoll is how often a reader asks for the first configuration.
 	unpublishedPoll = 250 * time.Millisecond
 	// idlePoll is how often a node that does not read checks whether it should.
@@ -56,17 +62,34 @@
 	return 0
 }
 
-// shouldRead reports whether this node reads the store now. Each node reads once when it starts; in a rolling restart each
-// would otherwise go on reading until it hears of the others.
+// shouldRead reports whether this node reads the store now: if it is a regular reader, or if no other node has been in
+// contact with the store for a while. In a rolling restart each node would otherwise go on reading until it hears of the
+// others.
 func (s *Service) shouldRead() bool {
 	if !s.options.Readers.Settled() {
 		return false
 	}
-	rank := s.options.Readers.Rank()
-	if rank == 0 {
+	turn := s.options.Readers.Rank()
+	if s.options.Readers.ZoneRank() >= readingZones {
+		turn++
+	}
+	if turn == 0 {
 		return true
 	}
-	return s.options.Readers.StoreContact() > takeoverAfter+time.Duration(rank)*takeoverStagger
+	return s.options.Readers.StoreContact() > takeoverAfter+time.Duration(turn)*takeoverStagger
+}
+
+// awaitPeers lets a few nodes read the endpoints when the whole fleet starts, and the others hear of them from those. Each
+// read takes as many calls as there are pages. The shortest waits drawn decide which nodes read. At any later start callers
+// may be waiting, so that a node reads at once.
+func (s *Service) awaitPeers(ctx context.Context) {
+	if !s.options.FirstStart {
+		return
+	}
+	wait := time.Duration(rand.Int64N(int64(firstStartSpread)))
+	for deadline := s.options.Clock.Now() + wait; s.revision.Load() == 0 && s.options.Clock.Now() < deadline && ctx.Err() == nil; {
+		clock.Sleep(ctx, idlePoll)
+	}
 }
 
 // readConfiguration keeps the configuration in step with the store.
@@ -120,7 +143,8 @@
 	// position is the revision from which this node's own watches go on. What peers tell in between must not move it:
 	// their revision may be newer, but only the store has the history.
 	var position uint64
-	read := false
+	s.awaitPeers(ctx)
+	read := s.revision.Load() > 0
 	for ctx.Err() == nil {
 		if read && !s.shouldRead() {
 			clock.Sleep(ctx, idlePoll)
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -49,8 +48,10 @@
 type Readers interface {
 	// Settled reports whether the node has had the time to hear of the others.
 	Settled() bool
-	// Rank is the position of this node among the nodes of its zone; the first one reads.
+	// Rank is the position of this node among the nodes of its zone, and ZoneRank that of its zone among the zones. The
+	// first nodes of the first zones read.
 	Rank() int
+	ZoneRank() int
 	// StoreContact is the time since any other node was last answered by the store, as far as known.
 	StoreContact() time.Duration
 }
@@ -63,6 +64,8 @@
 	Clock     clock.Clock
 	Decisions *decision.Recorder
 	Logger    *slog.Logger
+	// FirstStart is set if the whole fleet starts for the first time, before there are callers.
+	FirstStart bool
 	// ConfigChanged and EndpointsChanged are called after a change has taken effect.
 	// The source is SourceStore or the address of a peer.
 	ConfigChanged    func(t *routing.Table, source string)
@@ -87,7 +90,7 @@
 	// versions are the latest configurations, the one in force last, and replies what was sent of that one, by the version
 	// that it starts from.
 	versions []*routing.Config
-	replies  map[uint64]*configurationReply
+	replies  map[uint64]*packed
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -100,7 +103,7 @@
 		registry: registry.New(),
 		pulling:  make(map[string]bool),
 		invalid:  make(map[string]bool),
-		replies:  make(map[uint64]*configurationReply),
+		replies:  make(map[uint64]*packed),
 	}
 	s.view.Store(s.registry.View())
 	options.Network.Handle(methodConfiguration, s.serveConfiguration)
@@ -262,21 +265,6 @@
 	})
 }
 
-func (s *Service) pullEndpoints(ctx context.Context, address string) error {
-	var snapshot registry.Snapshot
-	if err := s.options.Network.Call(ctx, address, methodEndpoints, struct{}{}, &snapshot); err != nil {
-		return err
-	}
-	s.update(address, func(g *registry.Registry, now time.Duration) []registry.Change { return g.Merge(now, snapshot) })
-	return nil
-}
-
-func (s *Service) serveEndpoints(context.Context, string, json.RawMessage) (any, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.registry.Snapshot(s.options.Clock.Now()), nil
-}
-
 // apply applies a change to the registry. It returns the new view, or nil if nothing has changed.
 func (s *Service) apply(change func(g *registry.Registry, now time.Duration) []registry.Change) ([]registry.Change, *registry.View) {
 	s.mu.Lock()
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -315,10 +315,10 @@
 	if o == faultfilter.Success {
 		e.learnTime(r.Route, took)
 	}
-	changed := e.shifted(now) || o != faultfilter.Success
+	shifted := e.shifted(now)
 	e.mu.Unlock()
-	if changed {
-		e.dispatcher.options.Changed()
+	if shifted || o != faultfilter.Success {
+		e.dispatcher.options.Changed(shifted)
 	}
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -112,11 +112,12 @@
 	})
 	m.discovery = discovery.New(discovery.Options{
 		Store: site.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
+		FirstStart:    s.FirstStart,
 		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
 	})
 	m.dispatcher = dispatch.New(dispatch.Options{
 		Backend: s.BackendAddress, Headers: site.Headers, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
-		View: m.discovery.View, Peers: m.medianCondition, Changed: m.reports.Notify,
+		View: m.discovery.View, Peers: m.medianCondition, Changed: m.reports.NotifyCondition,
 	})
 	m.forwarder = m.newForwarder(s, site)
 	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
@@ -225,11 +226,11 @@
 
 // endpointsChanged follows a change of the registered endpoints.
 func (m *Member) endpointsChanged(view *registry.View, source string) {
-	hosts := make([]string, 0, len(view.ByHost))
-	for ip := range view.ByHost {
-		hosts = append(hosts, ip)
+	zones := make(map[string]string, len(view.ByHost))
+	for ip, endpoints := range view.ByHost {
+		zones[ip] = endpoints[0].Zone
 	}
-	m.reports.SetHosts(hosts)
+	m.reports.SetHosts(zones)
 	m.dispatcher.Update(view)
 	m.spread(source)
 }
--- a/pkg/member/network.go
+++ b/pkg/member/network.go
@@ -81,8 +81,8 @@
 	r.ConfigVersion = summary.ConfigVersion
 	r.Revision, r.Digest = summary.Revision, summary.Digest
 	r.StoreMS = -1
-	if summary.StoreContact >= 0 {
-		r.StoreMS = int(summary.StoreContact.Milliseconds())
+	if contact := m.storeContact(summary); contact < maxStoreContact {
+		r.StoreMS = int(contact.Milliseconds())
 	}
 	r.Endpoints = m.dispatcher.Reports()
 	for service, usage := range m.forwarder.Usage() {
@@ -92,6 +92,18 @@
 	}
 }
 
+// maxStoreContact is the age from which a contact with the store is not worth telling.
+const maxStoreContact = time.Minute
+
+// storeContact is the time since this node or another one was last answered by the store.
+func (m *Member) storeContact(summary discovery.Summary) time.Duration {
+	contact := m.reports.StoreContact()
+	if summary.StoreContact >= 0 {
+		contact = min(contact, summary.StoreContact)
+	}
+	return contact
+}
+
 // observeReport compares the sender's picture of the fleet with this node's.
 func (m *Member) observeReport(peerAddress string, r *reports.Report) {
 	m.discovery.ObservePeer(peerAddress, r.Zone == m.settings.Load().Zone, discovery.Summary{
--- a/pkg/member/settings.go
+++ b/pkg/member/settings.go
@@ -22,6 +22,8 @@
 	Service        string
 
 	StoreAddress string
+	// FirstStart is set if the whole fleet starts for the first time, so that there are no callers yet.
+	FirstStart bool
 
 	// StopTimeout is the time after which the platform kills a process that was asked to stop, and StopNotice the time
 	// for which callers may still come although the node says that it is not ready.
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -40,7 +40,7 @@
 	Sequence uint64
 	Leaving  bool
 	// ConfigVersion, Revision and Digest are the sender's picture of the fleet, and StoreMS the time since the store
-	// last answered it, in milliseconds, or negative.
+	// last answered it or another node that it has heard of, in milliseconds, or negative.
 	ConfigVersion uint64
 	Revision      uint64
 	Digest        uint64
@@ -49,6 +49,8 @@
 	HeardMS   int
 	Endpoints []Endpoint
 	Repeats   []Repeats
+	// Lost are hosts of the sender's zone that it does not hear any more.
+	Lost []string
 }
 
 // encode returns the datagram of a report.
@@ -82,12 +84,15 @@
 		f.array("repeats", repeatsFields)
 		r.Repeats = append(r.Repeats, Repeats{Service: f.text(), Requests: f.integer(), Repeats: f.integer()})
 	}
+	for range f.list() {
+		r.Lost = append(r.Lost, f.text())
+	}
 	return f.err
 }
 
 const (
 	// Numbers of fields of the structures, which are encoded as arrays.
-	reportFields   = 11
+	reportFields   = 12
 	endpointFields = 7
 	repeatsFields  = 3
 	// maxText bounds the length of a name.
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,15 +21,6 @@
 )
 
 const (
-	// interval is the time between reports to a host when nothing changes. otherZoneInterval is longer because bytes
-	// between zones are charged for.
-	interval          = 300 * time.Millisecond
-	otherZoneInterval = 500 * time.Millisecond
-	// smallFleet is the number of hosts up to which these intervals hold. They grow in proportion beyond it, so that the
-	// bytes that a node sends do not grow with the fleet.
-	smallFleet = 40
-	// minGap is the shortest time between two rounds of urgent reports.
-	minGap = 15 * time.Millisecond
 	// tick is how often it is checked which reports are due.
 	tick = 50 * time.Millisecond
 	// forgetAfter is the silence after which a host that no endpoint is registered for is forgotten.
@@ -64,7 +56,9 @@
 }
 
 type host struct {
-	report   Report
+	report Report
+	// zone is that of the host's endpoint, or of its reports.
+	zone     string
 	path     path
 	local    faultfilter.Filter
 	listed   bool
@@ -74,6 +68,8 @@
 	urgent   bool
 	// lost is set while the path counts as broken.
 	lost bool
+	// lostBy are nodes near the host that have lost it.
+	lostBy witnesses
 }
 
 // Service exchanges reports with the nodes of the fleet. It is safe for concurrent use.
@@ -86,6 +82,7 @@
 	mu        sync.Mutex
 	hosts     map[string]*host
 	endpoints map[string]*Known
+	schedule  schedule
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -98,6 +95,7 @@
 		wake:      make(chan struct{}, 1),
 		hosts:     make(map[string]*host),
 		endpoints: make(map[string]*Known),
+		schedule:  newSchedule(0, 0),
 	}
 }
 
@@ -122,8 +120,8 @@
 	return kernel.AwaitTasks(ctx, &s.tasks, "report tasks")
 }
 
-// SetHosts replaces the hosts for which endpoints are registered.
-func (s *Service) SetHosts(ips []string) {
+// SetHosts replaces the hosts for which endpoints are registered. It gets the zone of each.
+func (s *Service) SetHosts(zones map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
@@ -135,11 +133,23 @@
 	for _, h := range s.hosts {
 		h.listed = false
 	}
-	for _, ip := range ips {
+	for ip, zone := range zones {
 		if h := s.host(ip); h != nil {
-			h.listed = true
+			h.listed, h.zone = true, zone
 		}
 	}
+	s.reschedule()
+}
+
+// reschedule adapts the schedule to the hosts. The caller holds the lock.
+func (s *Service) reschedule() {
+	near := 0
+	for _, h := range s.hosts {
+		if h.zone == s.options.Zone {
+			near++
+		}
+	}
+	s.schedule = newSchedule(near, len(s.hosts)-near)
 }
 
 // host returns what is known of a host, creating it if needed. It returns nil for this host and for bad addresses.
@@ -161,9 +171,21 @@
 
 // Notify sends reports to all hosts soon.
 func (s *Service) Notify() {
+	s.notify(true)
+}
+
+// NotifyCondition does so after a change in the condition of an endpoint. Hosts of other zones are told of a change that
+// is not decisive with the next report only, if there are many of them.
+func (s *Service) NotifyCondition(decisive bool) {
+	s.notify(decisive)
+}
+
+func (s *Service) notify(far bool) {
 	s.mu.Lock()
 	for _, h := range s.hosts {
-		h.urgent = true
+		if far || s.schedule.farUrgent || h.zone == s.options.Zone {
+			h.urgent = true
+		}
 	}
 	s.mu.Unlock()
 	select {
@@ -221,6 +243,9 @@
 	}
 	now := s.options.Clock.Now()
 	broken = h.path.broken(now, s.interval(h))
+	if h.lostBy.lost(now) {
+		broken = max(broken, deadPath)
+	}
 	if local := h.local.Probability(now); local > startingDoubt {
 		broken = 1 - (1-broken)*(1-local)
 	}
@@ -286,6 +311,22 @@
 	return 0
 }
 
+// ZoneRank returns the position of this node's zone among the zones with live nodes.
+func (s *Service) ZoneRank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	zones := []string{s.options.Zone}
+	for _, ip := range s.liveIn("") {
+		if zone := s.hosts[ip].zone; !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return slices.Index(membership.Rank(zoneRankKey, zones), s.options.Zone)
+}
+
+// zoneRankKey makes the order of the zones differ from those of the nodes in them.
+const zoneRankKey = "zones"
+
 // liveFor is the silence up to which a host counts as live. The caller holds the lock.
 func (s *Service) liveFor(h *host) time.Duration {
 	return liveIntervals * s.interval(h)
@@ -297,14 +338,18 @@
 	ids := make([]string, 0, len(s.hosts))
 	for ip, h := range s.hosts {
 		live := h.path.ever && now-h.path.heardAt < s.liveFor(h) && !h.report.Leaving
-		if live && (zone == "" || h.report.Zone == zone) {
+		if live && (zone == "" || h.zone == zone) {
 			ids = append(ids, ip)
 		}
 	}
 	return ids
 }
 
-// StoreContact returns the time since another node was last answered by the store.
+// relayDelay is added to what another node tells of its contact with the store, so that the word of two nodes that repeat
+// it to each other grows old.
+const relayDelay = 20 * time.Millisecond
+
+// StoreContact returns the time since any other node was last answered by the store, as far as they tell.
 func (s *Service) StoreContact() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -312,7 +357,7 @@
 	age := forever
 	for _, h := range s.hosts {
 		if h.path.ever && h.report.StoreMS >= 0 {
-			age = min(age, time.Duration(h.report.StoreMS)*time.Millisecond+now-h.path.heardAt)
+			age = min(age, time.Duration(h.report.StoreMS)*time.Millisecond+now-h.path.heardAt+relayDelay)
 		}
 	}
 	return age
@@ -355,7 +400,12 @@
 		h.local.Reset()
 	}
 	h.path.heard(now, r.Sequence, restarted, r.HeardMS)
-	h.report = *r
+	h.report, h.lostBy = *r, nil
+	if h.zone == "" {
+		h.zone = r.Zone
+		s.reschedule()
+	}
+	s.noteLost(now, ip, r)
 	for _, e := range r.Endpoints {
 		s.endpoints[e.ID] = s.endpoints[e.ID].update(e, now)
 	}
@@ -416,6 +466,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
+	shared.Lost = s.lostNearby(now)
 	for ip, h := range s.hosts {
 		if !h.listed && now-h.path.heardAt > forgetAfter {
 			delete(s.hosts, ip)
@@ -465,21 +516,15 @@
 
 // interval is the time between reports to or from a host. The caller holds the lock.
 func (s *Service) interval(h *host) time.Duration {
-	every := interval
-	if h.path.ever && h.report.Zone != s.options.Zone {
-		every = otherZoneInterval
+	if h.zone == s.options.Zone {
+		return s.schedule.near
 	}
-	return time.Duration(float64(every) * s.stretch())
-}
-
-// stretch is the factor by which intervals grow with the fleet. The caller holds the lock.
-func (s *Service) stretch() float64 {
-	return max(1, float64(len(s.hosts))/smallFleet)
+	return s.schedule.far
 }
 
 // gap is the time for which urgent reports are collected.
 func (s *Service) gap() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Duration(float64(minGap) * s.stretch())
+	return s.schedule.gap
 }
--- a/pkg/transport/endless_test.go
+++ b/pkg/transport/endless_test.go
@@ -89,7 +89,7 @@
 			runtime.ReadMemStats(&after)
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", wait+500*time.Millisecond))
-			g.Expect(int64(after.HeapAlloc)-int64(before.HeapAlloc)).To(gomega.BeNumerically("<", memoryBound))
+			g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(gomega.BeNumerically("<", memoryBound))
 			g.Eventually(closed, hangGuard).Should(gomega.BeClosed())
 		})
 	}
