Refuse what waits in vain before its deadline, so that the refusal is true and arrives

A request that more urgent ones overtake was held until its deadline, and one was started with half of the usual service time left. Another attempt was made with 20 ms left.

Change: a dispatcher gets 15 ms less than what is left, for the way back. Queued requests are refused as soon as those before them leave no time, and are not started with less than the usual service time. A further attempt needs half of the expected service time.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -195,9 +195,12 @@
 	}
 }
 
-// Expire removes and returns the queued requests whose deadline cannot be met any more.
+// Expire removes and returns the queued requests whose deadline cannot be met any more. It is called after Next.
 func (q *Queue) Expire(now time.Duration) []Item {
 	q.dropLate(now)
+	if len(q.running) >= q.settings.Slots {
+		q.dropOvertaken(now)
+	}
 	expired := q.expired
 	q.expired = nil
 	return expired
@@ -340,14 +343,38 @@
 	return false
 }
 
+// dropLate takes out the requests that would not be finished by their deadline if they started now.
 func (q *Queue) dropLate(now time.Duration) {
+	q.drop(func(i Item) bool { return i.Deadline <= now+q.mean(i.Long) })
+}
+
+// dropOvertaken takes out the requests that will not be finished by their deadline because of those that run before them.
+// While more urgent ones keep coming, they would otherwise wait to the end for nothing. No slot may be free.
+func (q *Queue) dropOvertaken(now time.Duration) {
+	if q.queued() == 0 {
+		return
+	}
+	first, working := q.capacity(now)
+	var ahead time.Duration
+	q.drop(func(i Item) bool {
+		mean := q.mean(i.Long)
+		late := i.Deadline <= now+q.waitFor(i, first, ahead, working)+mean
+		if !late {
+			ahead += mean
+		}
+		return late
+	})
+}
+
+// drop takes out the queued requests that are late, in the order in which they would run.
+func (q *Queue) drop(late func(i Item) bool) {
 	for _, line := range []*[]Item{&q.short, &q.long, &q.alone} {
 		*line = slices.DeleteFunc(*line, func(i Item) bool {
-			late := i.Deadline <= now+q.mean(i.Long)/2
-			if late {
-				q.expired = append(q.expired, i)
+			if !late(i) {
+				return false
 			}
-			return late
+			q.expired = append(q.expired, i)
+			return true
 		})
 	}
 }
@@ -375,15 +402,7 @@
 // for the requests that go before it, with all slots at work. A request that has run for long is expected to run on, so
 // that its slot works off less.
 func (q *Queue) expectedWait(now time.Duration, item Item) time.Duration {
-	slots := float64(q.settings.Slots)
-	working := slots - float64(len(q.running))
-	var first time.Duration
-	for _, r := range q.running {
-		usual := q.mean(r.item.Long)
-		first += usual
-		working += float64(usual+1) / float64(max(usual, 2*min(now-r.start, overdue*usual))+1)
-	}
-	first = time.Duration(float64(first) / (slots + 1))
+	first, working := q.capacity(now)
 	var ahead time.Duration
 	for _, other := range q.short {
 		if item.Long || item.Alone || other.before(item) {
@@ -393,8 +412,26 @@
 	if item.Long || item.Alone {
 		ahead += time.Duration(len(q.long)) * q.meanLong
 	}
+	return q.waitFor(item, first, ahead, working)
+}
+
+// capacity returns the time until the first of the running requests ends, if all slots were at work, and the number of
+// slots that are.
+func (q *Queue) capacity(now time.Duration) (first time.Duration, working float64) {
+	slots := float64(q.settings.Slots)
+	working = slots - float64(len(q.running))
+	for _, r := range q.running {
+		usual := q.mean(r.item.Long)
+		first += usual
+		working += float64(usual+1) / float64(max(usual, 2*min(now-r.start, overdue*usual))+1)
+	}
+	return time.Duration(float64(first) / (slots + 1)), working
+}
+
+// waitFor returns the time until an item starts, given the work that goes before it.
+func (q *Queue) waitFor(item Item, first, ahead time.Duration, working float64) time.Duration {
 	if item.Long {
-		working *= float64(q.longSlots()) / slots
+		working *= float64(q.longSlots()) / float64(q.settings.Slots)
 	}
 	return time.Duration(float64(first+ahead) / max(working, minWorking))
 }
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -231,3 +231,90 @@
 	g.Expect(q.Offer(0, Item{ID: "c", Deadline: far, MaxWait: time.Millisecond}).Reason).To(gomega.Equal(ReasonBusy))
 	g.Expect(q.Offer(0, Item{ID: "d", Deadline: far, MaxWait: time.Second}).Verdict).To(gomega.Equal(Queued))
 }
+
+// Plays a saturated endpoint at which more urgent requests keep arriving: one that they overtake again and again must be
+// refused while its caller can still go elsewhere, and those that are in time must run.
+func TestOvertakenRequestsAreRefusedEarly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		service  = 300 * time.Millisecond
+		deadline = 2500 * time.Millisecond
+	)
+	q := New(Settings{Slots: 1, QueueLimit: 4})
+	g.Expect(q.Offer(0, Item{ID: "first", Deadline: far})).To(gomega.Equal(Decision{Verdict: Run}))
+	running := "first"
+	refusedAt := time.Duration(0)
+	for now := time.Duration(0); now < deadline; now += service / 10 {
+		if now%service == 0 && now > 0 {
+			q.Done(now, running, service)
+			if now == service {
+				g.Expect(q.Offer(now, Item{ID: "patient", Priority: 2, Deadline: now + deadline}).Verdict).To(gomega.Equal(Run))
+				running = "patient"
+				g.Expect(q.Offer(now, Item{ID: "overtaken", Priority: 2, Deadline: now + deadline}).Verdict).To(gomega.Equal(Queued))
+			}
+			for _, i := range q.Next(now) {
+				running = i.ID
+			}
+			for n := range 2 {
+				q.Offer(now, Item{ID: fmt.Sprint("urgent", now, n), Priority: 1, Deadline: now + deadline})
+			}
+		}
+		for _, i := range q.Expire(now) {
+			if i.ID == "overtaken" {
+				refusedAt = now
+			}
+		}
+	}
+	g.Expect(refusedAt).To(gomega.BeNumerically(">", service))
+	g.Expect(refusedAt).To(gomega.BeNumerically("<", service+deadline*3/4))
+	g.Expect(running).To(gomega.ContainSubstring("urgent"))
+}
+
+// Plays a rush of one and a half times what an endpoint can serve, at which requests may wait as long as they would be in
+// time: nearly all that are served must be, no capacity may be lost, and the others must hear at once.
+func TestOverloadServesInTimeAndRefusesAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		slots    = 4
+		service  = 300 * time.Millisecond
+		target   = 1200 * time.Millisecond
+		deadline = 2500 * time.Millisecond
+		every    = service / slots * 2 / 3
+		length   = 20 * time.Second
+	)
+	q := New(Settings{Slots: slots, QueueLimit: 3 * slots})
+	arrived, ends := map[string]time.Duration{}, map[string]time.Duration{}
+	served, inTime, late := 0, 0, 0
+	start := func(now time.Duration, id string) { ends[id] = now + service }
+	for now := time.Duration(0); now < length; now += time.Millisecond {
+		for id, end := range ends {
+			if end <= now {
+				delete(ends, id)
+				q.Done(now, id, service)
+				served++
+				if now-arrived[id] <= target {
+					inTime++
+				}
+			}
+		}
+		for _, i := range q.Next(now) {
+			start(now, i.ID)
+		}
+		for _, i := range q.Expire(now) {
+			if now-arrived[i.ID] > target/8 {
+				late++
+			}
+		}
+		if now%every == 0 {
+			id := fmt.Sprint(now)
+			arrived[id] = now
+			if q.Offer(now, Item{ID: id, Deadline: now + deadline, MaxWait: target - service}).Verdict == Run {
+				start(now, id)
+			}
+		}
+	}
+	capacity := float64(length) / float64(service) * slots
+	g.Expect(float64(served)).To(gomega.BeNumerically(">", 0.95*capacity))
+	g.Expect(float64(inTime)).To(gomega.BeNumerically(">", 0.95*float64(served)))
+	g.Expect(late).To(gomega.BeNumerically("<", served/100))
+}
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -23,7 +23,7 @@
 	hedgeFactor = 3
 	hedgeShare  = 0.5
 	minHedge    = 50 * time.Millisecond
-	// minRetryTime is the time that must be left for another attempt.
+	// minRetryTime is the least time that must be left for another attempt, beside half of the expected service time.
 	minRetryTime = 20 * time.Millisecond
 )
 
@@ -210,7 +210,7 @@
 
 // mayContinue decides whether another attempt follows.
 func (fl *flight) mayContinue(ctx context.Context, got result) bool {
-	if ctx.Err() != nil || time.Until(fl.request.deadline) < minRetryTime {
+	if ctx.Err() != nil || time.Until(fl.request.deadline) < max(minRetryTime, fl.newest.service/2) {
 		return false
 	}
 	if got.failure != nil && got.failure.Outcome == outcome.NotRun {
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -29,6 +29,8 @@
 	// minInquire the least age.
 	inquireFactor = 3
 	minInquire    = 300 * time.Millisecond
+	// returnTime is the time for a response to come back between zones.
+	returnTime = 15 * time.Millisecond
 	// bufferLimit is the part of a response body that is read before the caller gets the first byte. A response that
 	// breaks off within it can still be replaced by that of another attempt.
 	bufferLimit = 1 << 20
@@ -70,6 +72,12 @@
 	return nil
 }
 
+// hopRemaining is the part of the time left that an attempt may use. The rest is for the way back: a dispatcher's word that
+// a request was not run must arrive before the deadline.
+func hopRemaining(left time.Duration) time.Duration {
+	return left - min(returnTime, left/10)
+}
+
 // send makes one attempt: directly if the endpoint is beside this node, over the inner hop otherwise.
 func (f *Forwarder) send(ctx context.Context, r *request, p *pick) (*transport.Response, *outcome.Error) {
 	meta := hop.Meta{
@@ -81,7 +89,7 @@
 		Repeatable:    r.repeatable(),
 		Long:          r.route.Kind == routing.Download,
 		MaxWait:       p.maxWait,
-		Remaining:     time.Until(r.deadline),
+		Remaining:     hopRemaining(time.Until(r.deadline)),
 		Priority:      r.route.Priority,
 		CallerService: f.options.CallerService(),
 	}
