--- a/pkg/transport/endless_test.go
+++ b/pkg/transport/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -100,6 +101,17 @@
 
 // readWhole sends a request and reads its response to the end.
 func readWhole(ctx context.Context, pool *transport.Pool) error {
+	response, err := send(ctx, pool)
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// send sends a request and returns the response that says it is its own.
+func send(ctx context.Context, pool *transport.Pool) (*transport.Response, error) {
 	head := &protocol.Request{}
 	head.Header.SetMethod("GET")
 	head.Header.SetRequestURI("/")
@@ -107,15 +119,9 @@
 	accept := func(head *protocol.Response) bool { return head.Header.Get("X-Id") == "own" }
 	pending, err := pool.Send(ctx, &transport.Request{Head: head, Accept: accept})
 	if err != nil {
-		return err
-	}
-	response, err := pending.Await()
-	if err != nil {
-		return err
+		return nil, err
 	}
-	defer response.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return err
+	return pending.Await()
 }
 
 // Guards against a rejection that holds its request up because its body does not end.
@@ -126,15 +132,54 @@
 	defer pool.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
 	defer cancel()
-	head := &protocol.Request{}
-	head.Header.SetRequestURI("/")
-	head.Header.SetHost("test")
-	pending, err := pool.Send(ctx, &transport.Request{Head: head})
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	response, err := pending.Await()
+	response, err := send(ctx, pool)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	begin := time.Now()
 	response.Discard()
 	g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", time.Second))
 	g.Eventually(closed, hangGuard).Should(gomega.BeClosed())
 }
+
+// Guards against a body without a length that counts as complete although its connection was reset, or that is not
+// accepted although it was closed in order.
+func TestAResetIsNotTheEndOfABody(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %t", reset), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer listener.Close()
+			received := make(chan struct{})
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nhalf")
+				<-received
+				if reset {
+					// Closing without lingering makes the kernel send a reset.
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+			pool := transport.NewPool(listener.Addr().String(), transport.Options{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4}, &transport.Stats{})
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+			defer cancel()
+			response, err := send(ctx, pool)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer response.Close()
+			prefix := make([]byte, 4)
+			_, err = io.ReadFull(response.Body, prefix)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			close(received)
+			_, err = io.Copy(io.Discard, response.Body)
+			g.Expect(err != nil).To(gomega.Equal(reset))
+			g.Expect(response.Complete()).To(gomega.Equal(!reset))
+		})
+	}
+}
