Ask another peer if one does not answer, read the store in three zones

The store turned some machines away meanwhile, and since two zones read it instead of three.

Change: another peer is asked after 150 ms, at most three at a time; three zones read the store.

Test: TestAPeerThatDoesNotAnswerHoldsNothingUp failed before.

--- /dev/null
+++ b/pkg/discovery/pull_test.go
@@ -0,0 +1,84 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/routing"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/peer"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+)
+
+// halfDeaf is a network in which one peer is heard and cannot be reached.
+type halfDeaf struct {
+	unreachable string
+	other       *Service
+}
+
+func (n *halfDeaf) Handle(string, func(context.Context, string, json.RawMessage) (any, error)) {}
+
+func (n *halfDeaf) Peers() []string { return nil }
+
+func (n *halfDeaf) Call(ctx context.Context, address, _ string, params, result any) error {
+	if address == n.unreachable {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := n.other.serveEndpoints(ctx, "", raw)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, result)
+}
+
+func newService(t *testing.T, network peer.Network) *Service {
+	t.Helper()
+	log, err := telemetry.NewLog(io.Discard, telemetry.FormatJSON, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(Options{
+		Network: network, Clock: clock.NewMonotonic(), Logger: slog.New(slog.DiscardHandler), Decisions: decision.NewRecorder(log, 16),
+		ConfigChanged: func(*routing.Table, string) {}, EndpointsChanged: func(*registry.View, string) {},
+	})
+}
+
+// Guards against a node that learns late that an endpoint leaves, because the peer that it asks first can be heard but not
+// reached.
+func TestAPeerThatDoesNotAnswerHoldsNothingUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	network := &halfDeaf{unreachable: "10.0.0.2:7000"}
+	network.other = newService(t, network)
+	network.other.update(SourceStore, func(r *registry.Registry, now time.Duration) []registry.Change {
+		return r.Replace(now, registry.Snapshot{Revision: 7, Entries: []registry.Entry{{
+			ID: "e", Service: "s", Address: "10.0.0.3:80", Zone: "z", Slots: 3, Revision: 7, Draining: true,
+		}}})
+	})
+	s := newService(t, network)
+	news := network.other.Summary()
+	begin := time.Now()
+	g.Eventually(func() bool {
+		// Reports of both peers keep coming, those of the one that cannot be reached first.
+		s.ObservePeer("10.0.0.2:7000", true, news)
+		s.ObservePeer("10.0.0.4:7000", true, news)
+		return s.View().Leaving("e")
+	}, pullTimeout/2, "10ms").Should(gomega.BeTrue())
+	g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", pullTimeout/2))
+}
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -27,9 +27,9 @@
 	// takeoverStagger the further age for each rank.
 	takeoverAfter   = 800 * time.Millisecond
 	takeoverStagger = 200 * time.Millisecond
-	// readingZones is the number of zones in which a node reads the store all the time. A second one keeps changes coming
-	// when the first is cut off from the store.
-	readingZones = 2
+	// readingZones is the number of zones in which a node reads the store all the time. The store may turn some of the
+	// readers away; with others left, changes keep coming without a takeover.
+	readingZones = 3
 	// firstStartSpread is the time over which the nodes read the endpoints when the whole fleet starts.
 	firstStartSpread = 3 * time.Second
 	// unpublishedPoll is how often a reader asks for the first configuration.
--- a/pkg/discovery/readers_test.go
+++ b/pkg/discovery/readers_test.go
@@ -30,9 +30,9 @@
 	}{
 		{"first node of the first zone", fakeReaders{settled: true}, true},
 		{"first node of the second zone", fakeReaders{settled: true, zoneRank: 1}, true},
-		{"first node of the third zone", fakeReaders{settled: true, zoneRank: 2, contact: inContact}, false},
+		{"first node of the fourth zone", fakeReaders{settled: true, zoneRank: 3, contact: inContact}, false},
 		{"second node of the first zone", fakeReaders{settled: true, rank: 1, contact: inContact}, false},
-		{"first node of the third zone, no reader left", fakeReaders{settled: true, zoneRank: 2, contact: lost}, true},
+		{"first node of the fourth zone, no reader left", fakeReaders{settled: true, zoneRank: 3, contact: lost}, true},
 		{"second node, no reader left", fakeReaders{settled: true, rank: 1, contact: lost}, true},
 		{"second node, its turn has not come", fakeReaders{settled: true, rank: 1, contact: takeoverAfter + takeoverStagger/2}, false},
 		{"node that has just started", fakeReaders{contact: lost}, false},
--- a/pkg/discovery/service.go
+++ b/pkg/discovery/service.go
@@ -85,7 +85,7 @@
 	registry *registry.Registry
 	digest   atomic.Uint64
 	revision atomic.Uint64
-	pulling  map[string]bool
+	pulling  map[string]pulls
 	invalid  map[string]bool
 	// versions are the latest configurations, the one in force last, and replies what was sent of that one, by the version
 	// that it starts from.
@@ -101,7 +101,7 @@
 	s := &Service{
 		options:  options,
 		registry: registry.New(),
-		pulling:  make(map[string]bool),
+		pulling:  make(map[string]pulls),
 		invalid:  make(map[string]bool),
 		replies:  make(map[uint64]*packed),
 	}
@@ -225,26 +225,27 @@
 }
 
 const (
-	// pullTimeout bounds a fetch from a peer, so that a dead one does not hold up the next.
-	pullTimeout = time.Second
+	// pullTimeout bounds a fetch from a peer, pullPatience is the time after which another peer is asked as well, and
+	// maxPulls the number of peers that are asked at the same time.
+	pullTimeout  = time.Second
+	pullPatience = 150 * time.Millisecond
+	maxPulls     = 3
 	// farDelay is how long a node waits for the news from its own zone.
 	farDelay = 250 * time.Millisecond
 )
 
-// pull runs one fetch of a kind from near peers, and one from far ones, at a time.
+// pull runs a fetch of a kind, from near peers and from far ones at the same time. Further ones follow as long as those
+// under way do not end, since a peer that is heard may not be reached.
 func (s *Service) pull(method, address string, near bool, fetch func(ctx context.Context, address string) error, wanted func() bool) {
 	kind := method
 	if !near {
 		kind += ".far"
 	}
-	s.mu.Lock()
-	busy := s.pulling[kind]
-	s.pulling[kind] = true
-	s.mu.Unlock()
-	if busy {
+	if !s.beginPull(kind, address, near) {
 		return
 	}
 	s.tasks.Go(func() {
+		defer s.endPull(kind, address)
 		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout+farDelay)
 		defer cancel()
 		if !near {
@@ -259,12 +260,49 @@
 				s.options.Logger.Warn("fetch from peer failed", "method", method, "peer", address, "error", err)
 			}
 		}
-		s.mu.Lock()
-		s.pulling[kind] = false
-		s.mu.Unlock()
 	})
 }
 
+// pulls are the fetches of a kind that are under way, with their start by the address of the peer.
+type pulls map[string]time.Duration
+
+// mayBegin reports whether another fetch may begin: the first one, or one from another peer if those before it take long.
+func (p pulls) mayBegin(now time.Duration, address string, patience time.Duration) bool {
+	if _, open := p[address]; open || len(p) >= maxPulls {
+		return false
+	}
+	for _, begun := range p {
+		if now-begun < patience {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Service) beginPull(kind, address string, near bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	patience := pullPatience
+	if !near {
+		patience += farDelay
+	}
+	now := s.options.Clock.Now()
+	if !s.pulling[kind].mayBegin(now, address, patience) {
+		return false
+	}
+	if s.pulling[kind] == nil {
+		s.pulling[kind] = make(pulls)
+	}
+	s.pulling[kind][address] = now
+	return true
+}
+
+func (s *Service) endPull(kind, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pulling[kind], address)
+}
+
 // apply applies a change to the registry. It returns the new view, or nil if nothing has changed.
 func (s *Service) apply(change func(g *registry.Registry, now time.Duration) []registry.Change) ([]registry.Change, *registry.View) {
 	s.mu.Lock()
