--- /dev/null
+++ b/pkg/reports/queries.go
@@ -0,0 +1,179 @@
+package reports
+
+import (
+	"slices"
+	"time"
+
+	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/membership"
+	"agatepulley.example/agatepulley/core/retrybudget"
+)
+
+// ObserveEndpoint records a report on an endpoint that arrived with a response.
+func (s *Service) ObserveEndpoint(e Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints[e.ID] = s.endpoints[e.ID].update(e, s.options.Clock.Now())
+}
+
+// Endpoint returns the latest report on an endpoint.
+func (s *Service) Endpoint(id string) (Known, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.endpoints[id]
+	if k == nil {
+		return Known{}, false
+	}
+	return *k, true
+}
+
+// CountSent records that a request was sent to an endpoint.
+func (s *Service) CountSent(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.endpoints[id]; k != nil {
+		k.Sent++
+	}
+}
+
+// ObservePath records how an exchange with a host went on the way, whatever the endpoint did.
+func (s *Service) ObservePath(ip string, outcome faultfilter.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.host(ip); h != nil {
+		h.local.Observe(s.options.Clock.Now(), outcome)
+	}
+}
+
+// Path returns the probability that a request to a host gets lost on the way, and whether the host is leaving.
+func (s *Service) Path(ip string) (broken float64, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ip == s.options.IP {
+		return 0, false
+	}
+	h := s.hosts[ip]
+	if h == nil {
+		return unknownPath, false
+	}
+	now := s.options.Clock.Now()
+	broken = h.path.broken(now, s.interval(h))
+	if h.lostBy.lost(now) {
+		broken = max(broken, deadPath)
+	}
+	if local := h.local.Probability(now); local > startingDoubt {
+		broken = 1 - (1-broken)*(1-local)
+	}
+	return broken, h.report.Leaving && now-h.path.heardAt < s.liveFor(h)
+}
+
+// startingDoubt is the local probability from which failed exchanges on a path count beside the reports.
+const startingDoubt = 0.3
+
+// Incarnation returns that of the process which last reported from a host, or 0.
+func (s *Service) Incarnation(ip string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.hosts[ip]; h != nil {
+		return h.report.Incarnation
+	}
+	return 0
+}
+
+// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
+func (s *Service) Repeats(service string) (retrybudget.Usage, float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	var sum retrybudget.Usage
+	heard := 1
+	for _, h := range s.hosts {
+		if !h.path.ever || now-h.path.heardAt > s.liveFor(h) {
+			continue
+		}
+		heard++
+		for _, r := range h.report.Repeats {
+			if r.Service == service {
+				sum = sum.Add(retrybudget.Usage{Requests: float64(r.Requests), Repeats: float64(r.Repeats)})
+			}
+		}
+	}
+	return sum, float64(heard) / float64(1+len(s.hosts))
+}
+
+// Nodes returns the number of live nodes, this one included.
+func (s *Service) Nodes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 + len(s.liveIn(""))
+}
+
+// Settled reports whether the node has had the time to hear of the others. Until then its rank means nothing.
+func (s *Service) Settled() bool {
+	return s.options.Clock.Now()-s.started >= settleTime
+}
+
+// Rank returns the position of this node among the live nodes of its zone.
+func (s *Service) Rank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := append(s.liveIn(s.options.Zone), s.options.IP)
+	for n, id := range membership.Rank(s.options.Zone, ids) {
+		if id == s.options.IP {
+			return n
+		}
+	}
+	return 0
+}
+
+// ZoneRank returns the position of this node's zone among the zones with live nodes.
+func (s *Service) ZoneRank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	zones := []string{s.options.Zone}
+	for _, ip := range s.liveIn("") {
+		if zone := s.hosts[ip].zone; !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return slices.Index(membership.Rank(zoneRankKey, zones), s.options.Zone)
+}
+
+// zoneRankKey makes the order of the zones differ from those of the nodes in them.
+const zoneRankKey = "zones"
+
+// liveFor is the silence up to which a host counts as live. The caller holds the lock.
+func (s *Service) liveFor(h *host) time.Duration {
+	return liveIntervals * s.interval(h)
+}
+
+// liveIn returns the live hosts of a zone, or of all zones. The caller holds the lock.
+func (s *Service) liveIn(zone string) []string {
+	now := s.options.Clock.Now()
+	ids := make([]string, 0, len(s.hosts))
+	for ip, h := range s.hosts {
+		live := h.path.ever && now-h.path.heardAt < s.liveFor(h) && !h.report.Leaving
+		if live && (zone == "" || h.zone == zone) {
+			ids = append(ids, ip)
+		}
+	}
+	return ids
+}
+
+// relayDelay is added to what another node tells of its contact with the store, so that the word of two nodes that repeat
+// it to each other grows old.
+const relayDelay = 20 * time.Millisecond
+
+// StoreContact returns the time since any other node was last answered by the store, as far as they tell.
+func (s *Service) StoreContact() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	age := forever
+	for _, h := range s.hosts {
+		if h.path.ever && h.report.StoreMS >= 0 {
+			age = min(age, time.Duration(h.report.StoreMS)*time.Millisecond+now-h.path.heardAt+relayDelay)
+		}
+	}
+	return age
+}
