Refuse waiting requests in time while service times are unknown

Cause: the queue of an endpoint that has answered nothing yet took its service time for zero, so that a request waited until 15 ms before its deadline. On a busy machine the refusal then arrived after it, and the caller got 504 "unknown" for a request that never left the queue. Ruled out: the inner hop and the inquiry; the dispatcher's own decision came too late in each failed run. Change: the queue expects an assumed service time until a request has been answered (150 ms, which the dispatcher already assumes for routes), so that what cannot be finished is refused at once and the rest well before the deadline. The new test of core/admission failed first.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -2,6 +2,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	QueueLimit int
 	// LongReserve is the number of slots that long requests leave free. One slot is always open to them.
 	LongReserve int
+	// AssumedService is the service time that is expected of requests until one of their class has been answered.
+	AssumedService time.Duration
 }
 
 // Item is a request offered to the endpoint.
@@ -381,9 +384,9 @@
 
 func (q *Queue) mean(long bool) time.Duration {
 	if long {
-		return q.meanLong
+		return cmp.Or(q.meanLong, q.settings.AssumedService)
 	}
-	return q.meanShort
+	return cmp.Or(q.meanShort, q.settings.AssumedService)
 }
 
 func (q *Queue) learn(long bool, serviceTime time.Duration) {
@@ -406,11 +409,11 @@
 	var ahead time.Duration
 	for _, other := range q.short {
 		if item.Long || item.Alone || other.before(item) {
-			ahead += q.meanShort
+			ahead += q.mean(false)
 		}
 	}
 	if item.Long || item.Alone {
-		ahead += time.Duration(len(q.long)) * q.meanLong
+		ahead += time.Duration(len(q.long)) * q.mean(true)
 	}
 	return q.waitFor(item, first, ahead, working)
 }
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -272,6 +272,29 @@
 
 // Plays a rush of one and a half times what an endpoint can serve, at which requests may wait as long as they would be in
 // time: nearly all that are served must be, no capacity may be lost, and the others must hear at once.
+// Guards against requests that wait until their deadline at an endpoint that has answered nothing yet: the refusal then
+// arrives after it, and the caller does not learn that the request was not run.
+func TestRefusesInTimeBeforeServiceTimesAreKnown(t *testing.T) {
+	const assumed, deadline = 150 * time.Millisecond, 400 * time.Millisecond
+	q := New(Settings{Slots: 1, QueueLimit: 4, AssumedService: assumed})
+	if d := q.Offer(0, Item{ID: "running", Deadline: time.Hour}); d.Verdict != Run {
+		t.Fatalf("first request: %+v", d)
+	}
+	if d := q.Offer(0, Item{ID: "waits", Deadline: deadline}); d.Verdict != Queued {
+		t.Fatalf("second request: %+v", d)
+	}
+	if d := q.Offer(0, Item{ID: "hopeless", Deadline: assumed}); d.Verdict != Refused || d.Reason != ReasonDeadline {
+		t.Fatalf("request that cannot be finished in time: %+v", d)
+	}
+	late := deadline - assumed
+	if started := q.Next(late); len(started) != 0 {
+		t.Fatalf("started %v although no slot is free", started)
+	}
+	if expired := q.Expire(late); len(expired) != 1 || expired[0].ID != "waits" {
+		t.Fatalf("expired at %v: %v", late, expired)
+	}
+}
+
 func TestOverloadServesInTimeAndRefusesAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const (
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -105,7 +105,9 @@
 
 func (e *endpoint) resize(slots int) {
 	e.slots = slots
-	settings := admission.Settings{Slots: slots, QueueLimit: slots * queuePerSlot, LongReserve: longReserve}
+	settings := admission.Settings{
+		Slots: slots, QueueLimit: slots * queuePerSlot, LongReserve: longReserve, AssumedService: defaultService,
+	}
 	if e.queue == nil {
 		e.queue = admission.New(settings)
 		return
