Read the store less at the start of a fleet, and cheaply

At a restart, a node read one page for each 50 endpoints (8 calls at 352 nodes). Ruled out: the regular readers (6 calls/s), repeated calls while the store is away. Change: at the first start of a fleet few nodes have an early turn, and the others take configuration and endpoints from peers; a node settles only 1.2 s after it has learned of the first other one; endpoints are read from replicas that may be behind (a tenth of a call each), and what has changed since is fetched before the list takes effect.

--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -15,6 +15,8 @@
 const (
 	// watchWait is how long a watch waits. It bounds how long a watch on a dead connection goes unnoticed.
 	watchWait = time.Second
+	// catchUpWait is the least time that a watch can be asked to wait, for one that fetches what is there.
+	catchUpWait = time.Millisecond
 	// watchSlack is how much longer than asked a watch may take.
 	watchSlack = 300 * time.Millisecond
 	// endpointsInterval is the shortest time between two watches of the endpoints, whose heartbeats would otherwise end
@@ -30,8 +32,10 @@
 	// readingZones is the number of zones in which a node reads the store all the time. The store may turn some of the
 	// readers away; with others left, changes keep coming without a takeover.
 	readingZones = 3
-	// firstStartSpread is the time over which the nodes read the endpoints when the whole fleet starts.
+	// firstStartSpread is the time over which the nodes read the store when the whole fleet starts, and firstStartDraws the
+	// number of draws of which the latest is a node's turn, so that few are early.
 	firstStartSpread = 3 * time.Second
+	firstStartDraws  = 4
 	// unpublishedPoll is how often a reader asks for the first configuration.
 	unpublishedPoll = 250 * time.Millisecond
 	// idlePoll is how often a node that does not read checks whether it should.
@@ -79,15 +83,18 @@
 	return s.options.Readers.StoreContact() > takeoverAfter+time.Duration(turn)*takeoverStagger
 }
 
-// awaitPeers lets a few nodes read the endpoints when the whole fleet starts, and the others hear of them from those. Each
-// read takes as many calls as there are pages. The shortest waits drawn decide which nodes read. At any later start callers
-// may be waiting, so that a node reads at once.
-func (s *Service) awaitPeers(ctx context.Context) {
+// awaitPeers lets a few nodes read the store when the whole fleet starts, and the others hear from those what they need.
+// Reading all endpoints takes as many calls as there are pages. At any later start callers may be waiting, so that a node
+// reads at once.
+func (s *Service) awaitPeers(ctx context.Context, known func() bool) {
 	if !s.options.FirstStart {
 		return
 	}
-	wait := time.Duration(rand.Int64N(int64(firstStartSpread)))
-	for deadline := s.options.Clock.Now() + wait; s.revision.Load() == 0 && s.options.Clock.Now() < deadline && ctx.Err() == nil; {
+	var turn time.Duration
+	for range firstStartDraws {
+		turn = max(turn, time.Duration(rand.Int64N(int64(firstStartSpread))))
+	}
+	for deadline := s.options.Clock.Now() + turn; !known() && s.options.Clock.Now() < deadline && ctx.Err() == nil; {
 		clock.Sleep(ctx, idlePoll)
 	}
 }
@@ -96,7 +103,9 @@
 func (s *Service) readConfiguration(ctx context.Context) {
 	var revision uint64
 	backoff := firstBackoff
-	asked := false
+	known := func() bool { return s.table.Load() != nil }
+	s.awaitPeers(ctx, known)
+	asked := known()
 	for ctx.Err() == nil {
 		if asked && !s.shouldRead() {
 			clock.Sleep(ctx, idlePoll)
@@ -143,8 +152,9 @@
 	// position is the revision from which this node's own watches go on. What peers tell in between must not move it:
 	// their revision may be newer, but only the store has the history.
 	var position uint64
-	s.awaitPeers(ctx)
-	read := s.revision.Load() > 0
+	known := func() bool { return s.revision.Load() > 0 }
+	s.awaitPeers(ctx, known)
+	read := known()
 	for ctx.Err() == nil {
 		if read && !s.shouldRead() {
 			clock.Sleep(ctx, idlePoll)
@@ -172,27 +182,47 @@
 
 // nextEndpoints reads all endpoints, or waits for changes after a position. It returns the next position.
 func (s *Service) nextEndpoints(ctx context.Context, position uint64) (uint64, error) {
-	var read EndpointsRead
-	var err error
-	if position > 0 {
-		read, err = s.options.Store.WatchEndpoints(ctx, position, watchWait)
-	} else {
-		read, err = s.options.Store.Endpoints(ctx)
+	if position == 0 {
+		return s.allEndpoints(ctx)
 	}
+	changes, err := s.options.Store.WatchEndpoints(ctx, position, watchWait)
 	if err != nil {
 		return 0, err
 	}
-	s.storeAnswered()
-	for _, invalid := range read.Invalid {
-		s.noteInvalid(invalid)
+	s.took(changes.Invalid, func(g *registry.Registry, now time.Duration) []registry.Change {
+		return g.Apply(now, changes.Snapshot)
+	})
+	return changes.Revision, nil
+}
+
+// allEndpoints reads all endpoints, cheaply from what may be behind, and then what has changed since. Both take effect
+// together, so that nothing that has left is in use in between.
+func (s *Service) allEndpoints(ctx context.Context) (uint64, error) {
+	all, err := s.options.Store.Endpoints(ctx, true)
+	if err != nil {
+		return 0, err
 	}
-	s.update(SourceStore, func(g *registry.Registry, now time.Duration) []registry.Change {
-		if position > 0 {
-			return g.Apply(now, read.Snapshot)
-		}
-		return g.Replace(now, read.Snapshot)
+	changes, err := s.options.Store.WatchEndpoints(ctx, all.Revision, catchUpWait)
+	if errors.Is(err, ErrHistoryLost) {
+		all, err = s.options.Store.Endpoints(ctx, false)
+		changes = EndpointsRead{Snapshot: registry.Snapshot{Revision: all.Revision}}
+	}
+	if err != nil {
+		return 0, err
+	}
+	s.took(append(all.Invalid, changes.Invalid...), func(g *registry.Registry, now time.Duration) []registry.Change {
+		return append(g.Replace(now, all.Snapshot), g.Apply(now, changes.Snapshot)...)
 	})
-	return read.Revision, nil
+	return changes.Revision, nil
+}
+
+// took takes over what the store has answered.
+func (s *Service) took(invalid []error, change func(g *registry.Registry, now time.Duration) []registry.Change) {
+	s.storeAnswered()
+	for _, err := range invalid {
+		s.noteInvalid(err)
+	}
+	s.update(SourceStore, change)
 }
 
 // expire removes entries whose removal was held back.
--- a/pkg/discovery/store.go
+++ b/pkg/discovery/store.go
@@ -40,8 +40,8 @@
 	Configuration(ctx context.Context) (ConfigurationRead, error)
 	// WatchConfiguration returns what was published after a revision. It waits for the first change.
 	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (ConfigurationRead, error)
-	// Endpoints returns all endpoints.
-	Endpoints(ctx context.Context) (EndpointsRead, error)
+	// Endpoints returns all endpoints. A stale read is cheap, but may lack what has changed after its revision.
+	Endpoints(ctx context.Context, stale bool) (EndpointsRead, error)
 	// WatchEndpoints returns the changes after a revision. It waits for the first one.
 	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (EndpointsRead, error)
 }
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -116,9 +116,12 @@
 	return 1 + len(s.liveIn(""))
 }
 
-// Settled reports whether the node has had the time to hear of the others. Until then its rank means nothing.
+// Settled reports whether the node has had the time to hear the others since it started and learned of the first one. Until
+// then its rank means nothing.
 func (s *Service) Settled() bool {
-	return s.options.Clock.Now()-s.started >= settleTime
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Clock.Now()-max(s.started, s.metAt) >= settleTime
 }
 
 // Rank returns the position of this node among the live nodes of its zone.
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -70,6 +70,20 @@
 	g.Expect(leaving).To(gomega.BeFalse())
 }
 
+// Guards against a fleet in which each node reads the store because it has just learned of the others and not heard them
+// yet.
+func TestNodeSettlesAfterItHasMetTheOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := &manualClock{now: time.Minute}
+	s := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "medeu", Clock: now})
+	g.Expect(s.Settled()).To(gomega.BeTrue(), "there is nobody to wait for")
+	s.SetHosts(map[string]string{"10.0.0.1": "medeu", "10.0.0.2": "medeu"})
+	g.Expect(s.Settled()).To(gomega.BeFalse())
+	now.now += settleTime
+	s.SetHosts(map[string]string{"10.0.0.1": "medeu", "10.0.0.2": "medeu", "10.0.0.3": "medeu"})
+	g.Expect(s.Settled()).To(gomega.BeTrue(), "newcomers do not matter")
+}
+
 type manualClock struct{ now time.Duration }
 
 func (c *manualClock) Now() time.Duration { return c.now }
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -82,6 +82,8 @@
 	hosts     map[string]*host
 	endpoints map[string]*Known
 	shares    shares
+	// metAt is when this node learned of the first other host.
+	metAt time.Duration
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -169,6 +171,9 @@
 	if err != nil {
 		return nil
 	}
+	if len(s.hosts) == 0 {
+		s.metAt = s.options.Clock.Now()
+	}
 	h := &host{address: netip.AddrPortFrom(address, uint16(s.options.Port))}
 	s.hosts[ip] = h
 	return h
