--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -18,23 +18,33 @@
 	f.budget(service).Request(now, repeatable)
 }
 
-// takeRepeat counts a repeat if the fleet's budget allows one, and reports whether it did. Runs of repeatable requests
-// may call other services; others are repeated only if they have not run.
-func (f *Forwarder) takeRepeat(service string, repeatable bool) bool {
-	left, _ := f.repeats(service)
-	nodes := f.options.Conditions.Nodes()
+// repeatGrant is the answer to a request for a repeat, with what decided it.
+type repeatGrant struct {
+	granted bool
+	// left of limit repeats were left for a number of nodes.
+	left, limit float64
+	nodes       int
+}
+
+// takeRepeat counts a repeat if the fleet's budget allows one. Runs of repeatable requests may call other services; others
+// are repeated only if they have not run.
+func (f *Forwarder) takeRepeat(service string, repeatable bool) repeatGrant {
+	var g repeatGrant
+	g.left, g.limit = f.repeats(service)
+	g.nodes = f.options.Conditions.Nodes()
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.budget(service)
-	if !b.Allows(now, left, nodes) {
-		return false
+	if !b.Allows(now, g.left, g.nodes) {
+		return g
 	}
+	g.granted = true
 	b.Repeat(now, 1)
 	if repeatable {
 		f.countCalls(now, service)
 	}
-	return true
+	return g
 }
 
 // countCalls spreads the calls of a repeated run over the other services like their requests. The caller holds the
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -249,11 +249,13 @@
 
 // pay takes a repeat from the budget.
 func (fl *flight) pay() bool {
-	paid := fl.forwarder.takeRepeat(fl.request.service, fl.repeatable())
-	if !paid {
-		fl.record("no-retry", "budget")
+	g := fl.forwarder.takeRepeat(fl.request.service, fl.repeatable())
+	if !g.granted {
+		inputs := fl.inputs()
+		inputs["budget_left"], inputs["budget"], inputs["nodes"] = int(g.left), int(g.limit), g.nodes
+		fl.recordInputs("no-retry", "budget", inputs)
 	}
-	return paid
+	return g.granted
 }
 
 var errOvertaken = errors.New("another attempt was answered first")
@@ -281,9 +283,17 @@
 }
 
 func (fl *flight) record(result, reason string) {
+	fl.recordInputs(result, reason, fl.inputs())
+}
+
+// inputs are those of decisions on further attempts.
+func (fl *flight) inputs() map[string]any {
+	return map[string]any{"attempts": fl.attempts, "arrived": fl.arrived, "refusals": fl.refusals}
+}
+
+func (fl *flight) recordInputs(result, reason string, inputs map[string]any) {
 	fl.forwarder.options.Decisions.Record(decision.Decision{
 		RequestID: fl.request.id, Step: stepRetry, Service: fl.request.service, Route: fl.request.route.Name,
-		Outcome: result, Reason: reason,
-		Inputs: map[string]any{"attempts": fl.attempts, "arrived": fl.arrived, "refusals": fl.refusals},
+		Outcome: result, Reason: reason, Inputs: inputs,
 	})
 }
