Remember what silent nodes have spent of the retry budget

Cause: a node that was not heard any more was left out of the sums with all that it had counted. After a partition, a side that had spent little got a new budget although the other side had just used up that of the whole fleet. Ruled out: the lag of reports, and the buckets of the window (a longer ring left the failure as it was). Change: what silent nodes had spent beyond their own part is missing in that of the others until it leaves the window. TestPartitionForgetsNoRepeats fails without the change (77 of 76).

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -41,10 +41,34 @@
 	return Usage{Requests: u.Requests + o.Requests, Repeats: u.Repeats + o.Repeats, Repeatable: u.Repeatable + o.Repeatable}
 }
 
-// Left returns how many repeats the known part of the fleet may still make. The share is that of the nodes that are
-// known, 0 to 1.
-func (s Settings) Left(total Usage, share float64) float64 {
-	return spendShare*(s.Ratio*total.Requests+s.Constant*share) - total.Repeats
+// Part is what a part of the fleet has counted.
+type Part struct {
+	Usage
+	// Share is that of its nodes in the fleet, 0 to 1.
+	Share float64
+}
+
+// Add takes in a node, which is a share of the fleet.
+func (p *Part) Add(u Usage, share float64) {
+	p.Usage = p.Usage.Add(u)
+	p.Share += share
+}
+
+// AddSilent takes in a node that has been silent for a time. What it had counted leaves the window bit by bit.
+func (p *Part) AddSilent(u Usage, share float64, silent, window time.Duration) {
+	rest := max(0, 1-silent.Seconds()/window.Seconds())
+	p.Add(Usage{Requests: rest * u.Requests, Repeats: rest * u.Repeats}, rest*share)
+}
+
+// Limit returns how many repeats a part of the fleet may make in a window.
+func (s Settings) Limit(p Part) float64 {
+	return spendShare * (s.Ratio*p.Requests + s.Constant*p.Share)
+}
+
+// Left returns how many repeats the nodes that hear each other may still make. The silent ones spend on their own, but what
+// they had spent beyond their part before is missing in that of the others.
+func (s Settings) Left(heard, silent Part) float64 {
+	return s.Limit(heard) - heard.Repeats - max(0, silent.Repeats-s.Limit(silent))
 }
 
 type bucket struct {
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,9 @@
 	budgets []*retrybudget.Budget
 	heard   []retrybudget.Usage
 	groups  []int
+	// splitAt is when the groups ceased to hear each other, and known what each node had heard of the others by then.
+	splitAt time.Duration
+	known   []retrybudget.Usage
 }
 
 func newFleet(n int, rng *rand.Rand) *fleet {
@@ -49,15 +53,19 @@
 
 // allows decides on a repeat of a node by what it has heard.
 func (f *fleet) allows(now time.Duration, node int) bool {
-	total, known := f.budgets[node].Usage(now), 1
+	nodes, share := 1, 1/float64(len(f.budgets))
+	heard, silent := retrybudget.Part{Usage: f.budgets[node].Usage(now), Share: share}, retrybudget.Part{}
 	for n, u := range f.heard {
-		if n != node && f.groups[n] == f.groups[node] {
-			total = total.Add(u)
-			known++
+		switch {
+		case n == node:
+		case f.groups[n] == f.groups[node]:
+			heard.Add(u, share)
+			nodes++
+		default:
+			silent.AddSilent(f.known[n], share, now-f.splitAt, settings.Window)
 		}
 	}
-	left := settings.Left(total, float64(known)/float64(len(f.budgets)))
-	return f.budgets[node].Allows(now, left, known)
+	return f.budgets[node].Allows(now, settings.Left(heard, silent), nodes)
 }
 
 // Guards against more repeats over the whole fleet than the limit allows, in any window, with nodes that hear each
@@ -78,6 +86,7 @@
 				f.hear(now)
 			}
 			if tick == split {
+				f.splitAt, f.known = now, slices.Clone(f.heard)
 				for n := range f.groups {
 					f.groups[n] = n % 2
 				}
@@ -137,3 +146,35 @@
 	}
 	g.Expect(spent).To(gomega.BeNumerically(">", 10))
 }
+
+// Guards against repeats that one side of a partition makes although the other had used up the budget just before.
+func TestPartitionForgetsNoRepeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const nodes, split, end = 10, 4 * time.Second, 9 * time.Second
+	f := newFleet(nodes, rand.New(rand.NewPCG(1, 1)))
+	for _, b := range f.budgets {
+		for range 10 {
+			b.Request(time.Second, true)
+		}
+	}
+	spent := 0
+	for now := time.Second; now < end; now += step {
+		if now%(10*step) == 0 {
+			f.hear(now)
+		}
+		if now == split {
+			f.splitAt, f.known = now, slices.Clone(f.heard)
+			for n := range f.groups {
+				f.groups[n] = n % 2
+			}
+		}
+		for n, b := range f.budgets {
+			// One side wants repeats before the partition, the other one after it.
+			if (n%2 == 0) == (now >= split) && f.allows(now, n) {
+				b.Repeat(now, 1)
+				spent++
+			}
+		}
+	}
+	g.Expect(float64(spent)).To(gomega.BeNumerically("<=", settings.Ratio*10*nodes+settings.Constant))
+}
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -69,24 +69,23 @@
 // repeatablePerSecond returns the number of repeatable requests of a service per second, over the part of the fleet that
 // is heard. Their share is taken to be the same everywhere.
 func (f *Forwarder) repeatablePerSecond(service string) float64 {
-	others, _ := f.options.Conditions.Repeats(service)
+	heard, _ := f.options.Conditions.Repeats(service, f.options.Budget.Window)
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := f.budget(service).Usage(now)
 	share := own.Repeatable / max(own.Requests, 1)
-	return share * own.Add(others).Requests / f.options.Budget.Window.Seconds()
+	return share * own.Add(heard.Usage).Requests / f.options.Budget.Window.Seconds()
 }
 
 // repeats returns how many repeats of a service the fleet may still make, and how many it may make in all.
 func (f *Forwarder) repeats(service string) (left, limit float64) {
-	others, share := f.options.Conditions.Repeats(service)
+	heard, silent := f.options.Conditions.Repeats(service, f.options.Budget.Window)
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	total := f.budget(service).Usage(now).Add(others)
-	limit = f.options.Budget.Left(retrybudget.Usage{Requests: total.Requests}, share)
-	return limit - total.Repeats, limit
+	heard.Add(f.budget(service).Usage(now), 0)
+	return f.options.Budget.Left(heard, silent), f.options.Budget.Limit(heard)
 }
 
 // Usage returns what this node counted for each service in the latest window.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -38,8 +38,9 @@
 	ObservePath(ip string, outcome faultfilter.Outcome)
 	// Nodes returns the number of live nodes, this one included.
 	Nodes() int
-	// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
-	Repeats(service string) (retrybudget.Usage, float64)
+	// Repeats returns what the other nodes counted for a service in a window: those that are heard, and those that have
+	// fallen silent.
+	Repeats(service string, window time.Duration) (heard, silent retrybudget.Part)
 	// Incarnation returns that of the process which last reported from a host, or 0.
 	Incarnation(ip string) uint64
 }
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -88,25 +88,26 @@
 	return 0
 }
 
-// Repeats returns what the other nodes counted for a service, and the share of the fleet that was heard.
-func (s *Service) Repeats(service string) (retrybudget.Usage, float64) {
+// Repeats returns what the other nodes counted for a service in a window: those that are heard, whose share of the fleet
+// includes this node, and those that have fallen silent.
+func (s *Service) Repeats(service string, window time.Duration) (heard, silent retrybudget.Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
-	var sum retrybudget.Usage
-	heard := 1
+	share := 1 / float64(1+len(s.hosts))
+	heard.Share = share
 	for _, h := range s.hosts {
-		if !h.linked || !h.path.ever || now-h.path.heardAt > s.liveFor(h) {
+		if !h.linked || !h.path.ever {
 			continue
 		}
-		heard++
-		for _, r := range h.report.Repeats {
-			if r.Service == service {
-				sum = sum.Add(retrybudget.Usage{Requests: float64(r.Requests), Repeats: float64(r.Repeats)})
-			}
+		usage := h.report.usage(service)
+		if age := now - h.path.heardAt; age > s.liveFor(h) {
+			silent.AddSilent(usage, share, age, window)
+		} else {
+			heard.Add(usage, share)
 		}
 	}
-	return sum, float64(heard) / float64(1+len(s.hosts))
+	return heard, silent
 }
 
 // Nodes returns the number of live nodes, this one included.
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/retrybudget"
 )
 
 // Endpoint is an owner's report on its endpoint. It travels in datagrams as an array and in a header of the inner hop as
@@ -53,6 +54,16 @@
 	Lost []string
 }
 
+// usage is what the sender counted for a service.
+func (r *Report) usage(service string) retrybudget.Usage {
+	for _, repeats := range r.Repeats {
+		if repeats.Service == service {
+			return retrybudget.Usage{Requests: float64(repeats.Requests), Repeats: float64(repeats.Repeats)}
+		}
+	}
+	return retrybudget.Usage{}
+}
+
 // encode returns the datagram of a report.
 func (r *Report) encode() ([]byte, error) {
 	var b bytes.Buffer
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -113,7 +113,7 @@
 			s := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "medeu", Clock: &manualClock{now: time.Minute}, Observe: func(string, *Report) {}})
 			s.take(netip.MustParseAddrPort("10.0.0.2:7000"), &r)
 			s.Path("10.0.0.2")
-			s.Repeats("huvo11a")
+			s.Repeats("huvo11a", 10*time.Second)
 		}
 		runtime.ReadMemStats(&after)
 		if grown := after.TotalAlloc - before.TotalAlloc; grown > 64<<10 {
