Choose links by the listed hosts only

Cause: the share of hosts to link with followed all hosts that a node remembers. Hosts that have left are forgotten after 10 s by nodes that heard them and at once by others, so that during replacements the two ends of a pair could disagree on their link; the one that is not reported to takes the path for unknown and avoids it. TestLinksDoNotDependOnWhatHasLeft fails on the code before.

--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -245,6 +245,24 @@
 	}
 }
 
+// Guards against links that only one end knows of because the other one still remembers hosts that have left.
+func TestLinksDoNotDependOnWhatHasLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	before, after := fleetHosts(400, 3), fleetHosts(200, 3)
+	now := &manualClock{now: time.Minute}
+	old := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "zone-0", Clock: now, Observe: func(string, *Report) {}})
+	old.SetHosts(before)
+	for ip, zone := range before {
+		old.take(netip.MustParseAddrPort(ip+":7000"), &Report{Zone: zone, Incarnation: 1, Sequence: 1})
+	}
+	old.SetHosts(after)
+	fresh := New(Options{IP: "10.0.0.1", Port: 7000, Zone: "zone-0", Clock: now})
+	fresh.SetHosts(after)
+	for ip := range after {
+		g.Expect(old.Linked(ip)).To(gomega.Equal(fresh.Linked(ip)), ip)
+	}
+}
+
 // Guards against a lossy path that counts as sound because some datagrams arrive.
 func TestLostDatagramsCastDoubtOnAPath(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -144,13 +144,18 @@
 
 // relink chooses the hosts with which this node exchanges reports. The caller holds the lock.
 func (s *Service) relink() {
-	zone := 1
+	zone, fleet := 1, 1
 	for _, h := range s.hosts {
+		// Hosts that have left are forgotten sooner by some nodes than by others.
+		if !h.listed {
+			continue
+		}
+		fleet++
 		if h.zone == s.options.Zone {
 			zone++
 		}
 	}
-	s.shares = newShares(zone, 1+len(s.hosts))
+	s.shares = newShares(zone, fleet)
 	for ip, h := range s.hosts {
 		if h.linked = s.linked(ip, h); !h.linked {
 			// The host has not fallen silent; it does not report to this one any more.
