Let a node that takes over the reading of the store read on

Cause: while the store turned away the regular readers, the node that had taken over stopped after each watch, since the others repeated its own contact to it; besides, for 1.3 s after an answer a node claimed to be in contact without a watch. Changes were learned up to 2.1 s late. Change: a node that takes over reads on for 10 s, and contact without an answer counts only while a watch waits.

--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"agatepulley.example/agatepulley/core/registry"
@@ -29,6 +28,9 @@
 	// takeoverStagger the further age for each rank.
 	takeoverAfter   = 800 * time.Millisecond
 	takeoverStagger = 200 * time.Millisecond
+	// takeoverTerm is how long a node that has taken over reads on. The others repeat its own contact, so that it would stop
+	// at once, and the next change would wait until that is old. Outages of the store for some nodes last seconds.
+	takeoverTerm = 10 * time.Second
 	// readingZones is the number of zones in which a node reads the store all the time. The store may turn some of the
 	// readers away; with others left, changes keep coming without a takeover.
 	readingZones = 3
@@ -44,45 +46,6 @@
 	expirePeriod = 100 * time.Millisecond
 )
 
-// contact remembers when the store last answered.
-type contact struct {
-	mu   sync.Mutex
-	at   time.Duration
-	ever bool
-	// away is set while calls fail.
-	away bool
-}
-
-func (c *contact) age(now time.Duration) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ever {
-		return -1
-	}
-	// A watch that waits is in contact; only one that should have ended is not.
-	if age := now - c.at; c.away || age > watchWait+watchSlack {
-		return age
-	}
-	return 0
-}
-
-// shouldRead reports whether this node reads the store now: if it is a regular reader, or if no other node has been in
-// contact with the store for a while. In a rolling restart each node would otherwise go on reading until it hears of the
-// others.
-func (s *Service) shouldRead() bool {
-	if !s.options.Readers.Settled() {
-		return false
-	}
-	turn := s.options.Readers.Rank()
-	if s.options.Readers.ZoneRank() >= readingZones {
-		turn++
-	}
-	if turn == 0 {
-		return true
-	}
-	return s.options.Readers.StoreContact() > takeoverAfter+time.Duration(turn)*takeoverStagger
-}
-
 // awaitPeers lets a few nodes read the store when the whole fleet starts, and the others hear from those what they need.
 // Reading all endpoints takes as many calls as there are pages. At any later start callers may be waiting, so that a node
 // reads at once.
@@ -143,6 +106,7 @@
 	if revision == 0 {
 		return s.options.Store.Configuration(ctx)
 	}
+	defer s.contact.watch(s.options.Clock.Now)()
 	return s.options.Store.WatchConfiguration(ctx, revision, watchWait)
 }
 
@@ -185,7 +149,9 @@
 	if position == 0 {
 		return s.allEndpoints(ctx)
 	}
+	done := s.contact.watch(s.options.Clock.Now)
 	changes, err := s.options.Store.WatchEndpoints(ctx, position, watchWait)
+	done()
 	if err != nil {
 		return 0, err
 	}
@@ -235,11 +201,7 @@
 
 func (s *Service) storeAnswered() {
 	now := s.options.Clock.Now()
-	s.contact.mu.Lock()
-	regained := s.contact.away
-	s.contact.at, s.contact.ever, s.contact.away = now, true, false
-	s.contact.mu.Unlock()
-	if !regained {
+	if !s.contact.answered(now) {
 		return
 	}
 	s.mu.Lock()
@@ -249,14 +211,7 @@
 }
 
 func (s *Service) storeFailed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	s.contact.mu.Lock()
-	lost := !s.contact.away
-	s.contact.away = true
-	s.contact.mu.Unlock()
-	if !lost {
+	if ctx.Err() != nil || !s.contact.failed() {
 		return
 	}
 	s.mu.Lock()
