--- a/pkg/discovery/contact.go
+++ b/pkg/discovery/contact.go
@@ -13,9 +13,8 @@
 	ever bool
 	// away is set while calls fail.
 	away bool
-	// watches have begun at these times and wait for the store.
-	watches map[int]time.Duration
-	next    int
+	// watches holds, by what they watch, the beginnings of those that wait for the store.
+	watches map[string]time.Duration
 	// takingOver is set from the decision to read in the place of others until the store answers, and term is the time up to
 	// which the node then reads on.
 	takingOver bool
@@ -23,19 +22,17 @@
 }
 
 // watch records that a watch begins, and returns a function to call at its end.
-func (c *contact) watch(now func() time.Duration) (end func()) {
+func (c *contact) watch(what string, now time.Duration) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.watches == nil {
-		c.watches = make(map[int]time.Duration)
+		c.watches = make(map[string]time.Duration)
 	}
-	id := c.next
-	c.next++
-	c.watches[id] = now()
+	c.watches[what] = now
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		delete(c.watches, id)
+		delete(c.watches, what)
 	}
 }
 
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -106,7 +106,7 @@
 	if revision == 0 {
 		return s.options.Store.Configuration(ctx)
 	}
-	defer s.contact.watch(s.options.Clock.Now)()
+	defer s.contact.watch(stepConfiguration, s.options.Clock.Now())()
 	return s.options.Store.WatchConfiguration(ctx, revision, watchWait)
 }
 
@@ -149,9 +149,7 @@
 	if position == 0 {
 		return s.allEndpoints(ctx)
 	}
-	done := s.contact.watch(s.options.Clock.Now)
-	changes, err := s.options.Store.WatchEndpoints(ctx, position, watchWait)
-	done()
+	changes, err := s.watchEndpoints(ctx, position)
 	if err != nil {
 		return 0, err
 	}
@@ -161,6 +159,11 @@
 	return changes.Revision, nil
 }
 
+func (s *Service) watchEndpoints(ctx context.Context, after uint64) (EndpointsRead, error) {
+	defer s.contact.watch(stepEndpoint, s.options.Clock.Now())()
+	return s.options.Store.WatchEndpoints(ctx, after, watchWait)
+}
+
 // allEndpoints reads all endpoints, cheaply from what may be behind, and then what has changed since. Both take effect
 // together, so that nothing that has left is in use in between.
 func (s *Service) allEndpoints(ctx context.Context) (uint64, error) {
--- a/pkg/discovery/readers_test.go
+++ b/pkg/discovery/readers_test.go
@@ -80,7 +80,7 @@
 			s.contact.answered(now)
 		}
 		if endWatch == nil && s.shouldRead() {
-			endWatch, watchEnds = s.contact.watch(s.options.Clock.Now), now+watchWait
+			endWatch, watchEnds = s.contact.watch(stepEndpoint, now), now+watchWait
 		}
 		if unread += step; endWatch != nil {
 			unread = 0
@@ -100,15 +100,14 @@
 func TestContactAgesWithoutAWatch(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Minute
-	clock := func() time.Duration { return now }
 	var c contact
-	end := c.watch(clock)
+	end := c.watch(stepEndpoint, now)
 	c.answered(now)
 	now += watchWait
 	g.Expect(c.age(now)).To(gomega.BeZero())
 	end()
 	g.Expect(c.age(now)).To(gomega.Equal(watchWait))
-	c.watch(clock)
+	c.watch(stepEndpoint, now)
 	now += watchWait + 2*watchSlack
 	g.Expect(c.age(now)).To(gomega.BeNumerically(">", watchWait), "the watch should have ended")
 }
