Count hosts without a link when zones are ranked

Cause: nodes hear the hosts that they are linked with only, so that in a fleet of 352 some heard nobody of a zone and ranked the zones differently from the others; the first node of a zone could then read the store in vain, or not read although it was its turn. Found by a test of 352 nodes, TestLinkedNodesAgreeOnTheReaders, which failed. Change: hosts without a link count as live in the ranks of nodes and of zones while they are registered.

--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -129,13 +129,7 @@
 func (s *Service) Rank() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := append(s.liveIn(s.options.Zone), s.options.IP)
-	for ip, h := range s.hosts {
-		// Nothing is heard of hosts without a link. They are taken to live while their endpoint is registered.
-		if !h.linked && h.listed && h.zone == s.options.Zone {
-			ids = append(ids, ip)
-		}
-	}
+	ids := append(s.presumedLive(s.options.Zone), s.options.IP)
 	for n, id := range membership.Rank(s.options.Zone, ids) {
 		if id == s.options.IP {
 			return n
@@ -149,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	zones := []string{s.options.Zone}
-	for _, ip := range s.liveIn("") {
+	for _, ip := range s.presumedLive("") {
 		if zone := s.hosts[ip].zone; !slices.Contains(zones, zone) {
 			zones = append(zones, zone)
 		}
@@ -178,6 +172,18 @@
 	return ids
 }
 
+// presumedLive returns the live hosts of a zone, or of all zones, and those without a link, of which nothing is heard, while
+// their endpoint is registered. The caller holds the lock.
+func (s *Service) presumedLive(zone string) []string {
+	ids := s.liveIn(zone)
+	for ip, h := range s.hosts {
+		if !h.linked && h.listed && (zone == "" || h.zone == zone) {
+			ids = append(ids, ip)
+		}
+	}
+	return ids
+}
+
 // relayDelay is added to what another node tells of its contact with the store, so that the word of two nodes that repeat
 // it to each other grows old.
 const relayDelay = 20 * time.Millisecond
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -245,6 +245,34 @@
 	}
 }
 
+// Guards against nodes that all take themselves for the reader of their zone, or count the zones differently, because they
+// hear only the hosts that they are linked with.
+func TestLinkedNodesAgreeOnTheReaders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hosts := fleetHosts(352, 5)
+	first, zoneRanks := make(map[string]int), make(map[string]int)
+	for ip, zone := range hosts {
+		s := New(Options{IP: ip, Port: 7000, Zone: zone, Clock: &manualClock{now: time.Minute}, Observe: func(string, *Report) {}})
+		s.SetHosts(hosts)
+		for other, zone := range hosts {
+			if s.Linked(other) && other != ip {
+				s.take(netip.MustParseAddrPort(other+":7000"), &Report{Zone: zone, Incarnation: 1, Sequence: 1})
+			}
+		}
+		if s.Rank() == 0 {
+			first[zone]++
+		}
+		if known, ok := zoneRanks[zone]; ok {
+			g.Expect(s.ZoneRank()).To(gomega.Equal(known), ip)
+		}
+		zoneRanks[zone] = s.ZoneRank()
+	}
+	g.Expect(first).To(gomega.HaveLen(5))
+	for zone, n := range first {
+		g.Expect(n).To(gomega.Equal(1), zone)
+	}
+}
+
 // Guards against links that only one end knows of because the other one still remembers hosts that have left.
 func TestLinksDoNotDependOnWhatHasLeft(t *testing.T) {
 	g := gomega.NewWithT(t)
