--- a/core/membership/links_test.go
+++ b/core/membership/links_test.go
@@ -55,3 +55,17 @@
 		t.Fatalf("%d of 1000 links changed", changed)
 	}
 }
+
+// Guards against two orders of the same ids.
+func TestBeforeAgreesWithRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z0-9.]{1,12}"), 2, 20, rapid.ID).Draw(t, "ids")
+		key := rapid.String().Draw(t, "key")
+		ranked := Rank(key, ids)
+		for n := 1; n < len(ranked); n++ {
+			if !Before(key, ranked[n-1], ranked[n]) || Before(key, ranked[n], ranked[n-1]) {
+				t.Fatalf("%q and %q are not in the order of their ranks", ranked[n-1], ranked[n])
+			}
+		}
+	})
+}
--- a/pkg/discovery/contact.go
+++ b/pkg/discovery/contact.go
@@ -96,14 +96,20 @@
 	if !s.options.Readers.Settled() {
 		return false
 	}
-	turn := s.options.Readers.Rank()
+	if s.contact.inTerm(s.options.Clock.Now()) {
+		return true
+	}
+	turn, contact := s.options.Readers.Rank(), s.options.Readers.StoreContact()
+	if turn > 0 && contact <= takeoverAfter {
+		return false
+	}
 	if s.options.Readers.ZoneRank() >= readingZones {
 		turn++
 	}
-	if turn == 0 || s.contact.inTerm(s.options.Clock.Now()) {
+	if turn == 0 {
 		return true
 	}
-	if s.options.Readers.StoreContact() <= takeoverAfter+time.Duration(turn)*takeoverStagger {
+	if contact <= takeoverAfter+time.Duration(turn)*takeoverStagger {
 		return false
 	}
 	s.contact.takeOver()
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -114,7 +114,13 @@
 func (s *Service) Nodes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return 1 + len(s.liveIn(""))
+	now, nodes := s.options.Clock.Now(), 1
+	for _, h := range s.hosts {
+		if s.live(now, h) {
+			nodes++
+		}
+	}
+	return nodes
 }
 
 // Settled reports whether the node has had the time to hear the others since it started and learned of the first one. Until
@@ -129,23 +135,24 @@
 func (s *Service) Rank() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := append(s.presumedLive(s.options.Zone), s.options.IP)
-	for n, id := range membership.Rank(s.options.Zone, ids) {
-		if id == s.options.IP {
-			return n
+	now, rank := s.options.Clock.Now(), 0
+	for ip, h := range s.hosts {
+		if h.zone == s.options.Zone && s.presumedLive(now, h) && membership.Before(s.options.Zone, ip, s.options.IP) {
+			rank++
 		}
 	}
-	return 0
+	return rank
 }
 
 // ZoneRank returns the position of this node's zone among the zones with live nodes.
 func (s *Service) ZoneRank() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
 	zones := []string{s.options.Zone}
-	for _, ip := range s.presumedLive("") {
-		if zone := s.hosts[ip].zone; !slices.Contains(zones, zone) {
-			zones = append(zones, zone)
+	for _, h := range s.hosts {
+		if !slices.Contains(zones, h.zone) && s.presumedLive(now, h) {
+			zones = append(zones, h.zone)
 		}
 	}
 	return slices.Index(membership.Rank(zoneRankKey, zones), s.options.Zone)
@@ -159,29 +166,18 @@
 	return liveIntervals * s.interval(h)
 }
 
-// liveIn returns the live hosts of a zone, or of all zones. The caller holds the lock.
-func (s *Service) liveIn(zone string) []string {
-	now := s.options.Clock.Now()
-	ids := make([]string, 0, len(s.hosts))
-	for ip, h := range s.hosts {
-		live := h.linked && h.path.ever && now-h.path.heardAt < s.liveFor(h) && !h.report.Leaving
-		if live && (zone == "" || h.zone == zone) {
-			ids = append(ids, ip)
-		}
-	}
-	return ids
+// live reports whether a host is heard. The caller holds the lock.
+func (s *Service) live(now time.Duration, h *host) bool {
+	return h.linked && h.path.ever && now-h.path.heardAt < s.liveFor(h) && !h.report.Leaving
 }
 
-// presumedLive returns the live hosts of a zone, or of all zones, and those without a link, of which nothing is heard, while
-// their endpoint is registered. The caller holds the lock.
-func (s *Service) presumedLive(zone string) []string {
-	ids := s.liveIn(zone)
-	for ip, h := range s.hosts {
-		if !h.linked && h.listed && (zone == "" || h.zone == zone) {
-			ids = append(ids, ip)
-		}
+// presumedLive reports whether a host is heard, or has no link, so that nothing is heard of it, and is registered. The
+// caller holds the lock.
+func (s *Service) presumedLive(now time.Duration, h *host) bool {
+	if h.linked {
+		return s.live(now, h)
 	}
-	return ids
+	return h.listed
 }
 
 // relayDelay is added to what another node tells of its contact with the store, so that the word of two nodes that repeat
