--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -202,13 +202,18 @@
 // Saturated reports whether no untried candidate that is likely to work has a free slot. Requests then wait in the queue
 // of the chosen endpoint for as long as their deadline permits, because they would have to wait at another endpoint, too.
 func Saturated(candidates []Candidate) bool {
+	return FreeSlots(candidates) == 0
+}
+
+// FreeSlots returns the number of free slots of the untried candidates that are likely to work.
+func FreeSlots(candidates []Candidate) int {
+	free := 0
 	for n := range candidates {
-		c := &candidates[n]
-		if !c.Tried && c.failProbability() < unreliableFrom && c.freeSlots() >= 1 {
-			return false
+		if c := &candidates[n]; !c.Tried && c.failProbability() < unreliableFrom {
+			free += max(int(c.freeSlots()), 0)
 		}
 	}
-	return true
+	return free
 }
 
 // Cost returns the expected cost of sending the request to the candidate, as a time in seconds.
--- a/pkg/decision/decision.go
+++ b/pkg/decision/decision.go
@@ -61,9 +61,8 @@
 // Recorder keeps the decisions on the latest requests and writes all decisions to the log in a separate goroutine, so that a
 // slow log does not delay requests. It is safe for concurrent use.
 type Recorder struct {
-	log    Log
-	logger *slog.Logger
-	queue  *ring.Ring[Decision]
+	log   Log
+	queue *ring.Ring[Decision]
 
 	mu   sync.Mutex
 	byID map[string][]Decision
@@ -78,12 +77,11 @@
 // NewRecorder returns a recorder that writes to log and keeps the decisions on as many requests as capacity says.
 func NewRecorder(log Log, capacity int) *Recorder {
 	return &Recorder{
-		log:    log,
-		logger: slog.New(log.Handler()),
-		queue:  ring.New[Decision](logRingCapacity, ring.DropOldest),
-		byID:   make(map[string][]Decision),
-		order:  make([]string, capacity),
-		done:   make(chan struct{}),
+		log:   log,
+		queue: ring.New[Decision](logRingCapacity, ring.DropOldest),
+		byID:  make(map[string][]Decision),
+		order: make([]string, capacity),
+		done:  make(chan struct{}),
 	}
 }
 
@@ -168,8 +166,12 @@
 	_ = r.log.Flush()
 }
 
-// write logs a decision. Empty fields are omitted to keep the lines short.
+// write logs a decision with its own time. Empty fields are omitted to keep the lines short.
 func (r *Recorder) write(d Decision) {
+	ctx, handler := context.Background(), r.log.Handler()
+	if !handler.Enabled(ctx, slog.LevelInfo) {
+		return
+	}
 	attrs := make([]slog.Attr, 0, maxAttrs)
 	text := func(name, value string) {
 		if value != "" {
@@ -190,7 +192,10 @@
 	if len(d.Inputs) > 0 {
 		attrs = append(attrs, slog.Any("inputs", d.Inputs))
 	}
-	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "decision", attrs...)
+	line := slog.NewRecord(d.Time, slog.LevelInfo, "decision", 0)
+	line.AddAttrs(attrs...)
+	// The error is ignored because there is no other log to report it to.
+	_ = handler.Handle(ctx, line)
 }
 
 // maxAttrs is the number of fields of a decision line.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -81,7 +81,7 @@
 		p.maxWait = time.Duration(maxWaitShare * float64(orDefault(fl.request.route.TargetLatency, defaultTargetLatency)))
 	}
 	p.incarnation = f.options.Conditions.Incarnation(p.host)
-	f.recordChoice(fl, p, r, &candidates[n], len(candidates), view.Revision)
+	f.recordChoice(fl, p, r, &candidates[n], candidates, view.Revision)
 	return p
 }
 
@@ -179,12 +179,12 @@
 	return remaining >= optionalReserve*limit
 }
 
-func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates int, revision uint64) {
+func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates []placement.Candidate, revision uint64) {
 	f.options.Decisions.Record(decision.Decision{
 		RequestID: fl.request.id, Step: stepChoose, Service: fl.request.service, Route: fl.request.route.Name,
 		Subject: p.endpoint.ID, Peer: p.host, Reason: string(p.reason),
 		Inputs: map[string]any{
-			"candidates": candidates, "endpoints_revision": revision, "config_version": fl.request.version,
+			"candidates": len(candidates), "free": placement.FreeSlots(candidates), "endpoints_revision": revision, "config_version": fl.request.version,
 			"fail": round(c.FailProbability), "path": round(c.PathFailProbability), "busy": c.Busy, "queued": c.Queued,
 			"sent": c.SentSinceReport, "service_ms": c.ServiceTime.Milliseconds(), "outcome_age_ms": c.SinceOutcome.Milliseconds(),
 			"cost_ms": int(placement.Cost(r, c) * 1000),
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -184,7 +184,7 @@
 	if ctx.Err() != nil || fl.possibleRuns()+len(fl.open) >= fl.request.route.Attempts {
 		return
 	}
-	if !fl.forwarder.hasSpareRetries(fl.request.service) || !fl.takeRetry() {
+	if !fl.forwarder.hasSpareRetries(fl.request.service) || !fl.takeRetry("no-hedge") {
 		return
 	}
 	if fl.launch(ctx) {
@@ -233,7 +233,7 @@
 	if got.failure != nil && got.failure.Outcome == outcome.NotRun {
 		return fl.mayResend(got.failure)
 	}
-	if len(fl.open) > 0 || !fl.repeatable() || fl.possibleRuns() >= fl.request.route.Attempts || !fl.takeRetry() {
+	if len(fl.open) > 0 || !fl.repeatable() || fl.possibleRuns() >= fl.request.route.Attempts || !fl.takeRetry("no-retry") {
 		return false
 	}
 	cause := got.reason()
@@ -253,7 +253,7 @@
 		return false
 	}
 	// The budget is charged only if an earlier attempt reached an endpoint or still may.
-	if fl.reached+len(fl.open) > 0 && !fl.takeRetry() {
+	if fl.reached+len(fl.open) > 0 && !fl.takeRetry("no-retry") {
 		return false
 	}
 	fl.record("resend", string(failure.Reason))
@@ -265,13 +265,13 @@
 	return fl.reached - fl.rejections
 }
 
-// takeRetry charges a retry to the retry budget and reports whether the budget allows it.
-func (fl *flight) takeRetry() bool {
+// takeRetry charges a retry to the retry budget and reports whether the budget allows it. If not, it records that as denied.
+func (fl *flight) takeRetry(denied string) bool {
 	g := fl.forwarder.takeRetry(fl.request.service, fl.repeatable())
 	if !g.granted {
 		inputs := fl.inputs()
 		inputs["budget_left"], inputs["budget"], inputs["nodes"] = int(g.remaining), int(g.limit), g.nodes
-		fl.recordInputs("no-retry", "budget", inputs)
+		fl.recordInputs(denied, "budget", inputs)
 	}
 	return g.granted
 }
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -193,7 +193,7 @@
 		Peer: a.pick.host, Outcome: string(result), Reason: reason,
 		Inputs: map[string]any{
 			"status": a.response.Head.StatusCode(), "attempt": a.pick.number, "ms": time.Since(r.arrivedAt).Milliseconds(),
-			"config_version": r.version,
+			"config_version": r.version, "target_ms": r.route.TargetLatency.Milliseconds(),
 		},
 	})
 }
