Charge a retry's calls only where a run may have made them

Each retry of a repeatable request was charged 1.5 calls to the other service whether or not it ran, so the budget of the called service stood at -242 of 105 while it had spent 10. A retry that a dispatcher refused was charged again with each further endpoint.

Change: core/retrybudget.Ledger holds the decision for all services. A retry needs room in the budgets of the services that its run may call; what did not reach an endpoint is given back, and so are the calls of an attempt that ended too early to make any. The calls of a run are measured: requests for the other service that originate on hosts of the calling one beyond what originates on other hosts. What remains is divided with rounding by chance, so that less than one retry for each node is used too.

Tests: callers' calls driven to the edge in virtual time stay within the limit (fails without the room for calls); calls get their retries while the calling service fails (fails with the charge of before); retries that are given back are free.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -186,6 +186,11 @@
 	return &Error{Outcome: Unknown, Reason: reason, Status: status, Step: step, Peer: peer, Err: cause}
 }
 
+// Arrived reports whether an endpoint received the request, or may have: after a refusal by a node, it did not.
+func (e *Error) Arrived() bool {
+	return e.Outcome != NotRun || e.Reason == ReasonEndpointRejected || e.Reason == ReasonEndpointReplaced
+}
+
 // As returns the Error in the chain of err, or nil if there is none.
 func As(err error) *Error {
 	var e *Error
--- /dev/null
+++ b/core/retrybudget/ledger_test.go
@@ -0,0 +1,189 @@
+package retrybudget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"agatepulley.example/agatepulley/core/retrybudget"
+)
+
+const (
+	desk  = "desk"  // called by callers; its runs call stock
+	stock = "stock" // called by runs of desk only
+	// runTime is the time from a retry to the end of its run, when its calls are counted.
+	runTime = 4 * step
+)
+
+// run is a retry of a request to desk that a node made.
+type run struct {
+	node  int
+	grant retrybudget.Grant
+}
+
+// callingFleet is a number of nodes whose endpoints of service desk call service stock in each run.
+type callingFleet struct {
+	rng      *rand.Rand
+	ledgers  []*retrybudget.Ledger
+	reported []map[string]retrybudget.Usage
+	// requests and repeats hold, for each step, the requests for stock and the arrivals there beyond the first of a request:
+	// its own retries and the calls of repeated runs of desk.
+	requests, repeats []float64
+	// runs holds the repeated runs of desk that end in each step.
+	runs map[int][]run
+	// granted and asked count the retries of stock.
+	granted, asked int
+}
+
+func newCallingFleet(nodes int, seed uint64) *callingFleet {
+	f := &callingFleet{rng: rand.New(rand.NewPCG(seed, 0)), reported: make([]map[string]retrybudget.Usage, nodes), runs: map[int][]run{}}
+	for range nodes {
+		f.ledgers = append(f.ledgers, retrybudget.NewLedger(settings, f.rng))
+	}
+	return f
+}
+
+// view returns what the other nodes have reported to a node.
+func (f *callingFleet) view(node int) retrybudget.Fleet {
+	share := 1 / float64(len(f.ledgers))
+	return retrybudget.Fleet{Nodes: len(f.ledgers), Services: []string{desk, stock}, Counts: func(service string) (reachable, unreachable retrybudget.GroupUsage) {
+		reachable.Share = share
+		for n, usage := range f.reported {
+			if n != node {
+				reachable.Add(usage[service], share)
+			}
+		}
+		return reachable, unreachable
+	}, Origins: func(service string) map[string]retrybudget.Origin {
+		origins := map[string]retrybudget.Origin{}
+		for n, usage := range f.reported {
+			host := stock
+			if f.hostsDesk(n) {
+				host = desk
+			}
+			o := origins[host]
+			o.Hosts++
+			o.Requests += usage[service].Requests
+			origins[host] = o
+		}
+		return origins
+	}}
+}
+
+// hostsDesk reports whether the endpoint on the host of a node is one of desk. Every fourth is one of stock.
+func (f *callingFleet) hostsDesk(node int) bool {
+	return node%4 != 1
+}
+
+// play plays the steps of a time in which each node gets perStep requests for desk. A part of the attempts is reset at once and
+// should be repeated. Each run calls stock the given number of times, and a part of the calls fails, too.
+func (f *callingFleet) play(steps int, perStep, deskFails, calls, stockFails float64) {
+	for tick := range steps {
+		now := time.Duration(tick) * step
+		f.requests, f.repeats = append(f.requests, 0), append(f.repeats, 0)
+		for n, l := range f.ledgers {
+			if tick%10 == 0 {
+				f.reported[n] = l.Usage(now)
+			}
+			if f.rng.Float64() >= perStep {
+				continue
+			}
+			l.AddRequest(now, desk, true)
+			if f.rng.Float64() >= deskFails {
+				l.AddRun(now, desk)
+				f.call(tick, f.deskHost(), calls, stockFails, false)
+				continue
+			}
+			if grant := l.Take(now, desk, true, f.view(n)); grant.Granted {
+				end := tick + int(runTime/step)
+				f.runs[end] = append(f.runs[end], run{n, grant})
+			}
+		}
+		for _, r := range f.runs[tick] {
+			if f.rng.Float64() < deskFails {
+				f.ledgers[r.node].ReturnCalls(now, r.grant)
+				continue
+			}
+			f.ledgers[r.node].AddRun(now, desk)
+			f.call(tick, f.deskHost(), calls, stockFails, true)
+		}
+	}
+}
+
+// deskHost returns a random node beside an endpoint of desk.
+func (f *callingFleet) deskHost() int {
+	for {
+		if n := f.rng.IntN(len(f.ledgers)); f.hostsDesk(n) {
+			return n
+		}
+	}
+}
+
+// call makes the calls of a run of desk through the node beside its endpoint.
+func (f *callingFleet) call(tick, node int, calls, fails float64, repeated bool) {
+	now, l := time.Duration(tick)*step, f.ledgers[node]
+	for calls += f.rng.Float64(); calls >= 1; calls-- {
+		l.AddRequest(now, stock, true)
+		l.AddRun(now, stock)
+		f.requests[tick]++
+		if repeated {
+			f.repeats[tick]++
+		}
+		if f.rng.Float64() >= fails {
+			continue
+		}
+		f.asked++
+		if l.Take(now, stock, true, f.view(node)).Granted {
+			f.granted++
+			f.repeats[tick]++
+		}
+	}
+}
+
+// Guards against more arrivals beyond the first than the limit allows at a service that gets its requests as calls of another
+// one: repeated runs of the other service repeat their calls. The load is that of a crest at which most endpoints fail.
+func TestCallsOfRepeatedRunsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newCallingFleet(rapid.IntRange(2, 30).Draw(t, "nodes"), rapid.Uint64().Draw(t, "seed"))
+		f.play(600, rapid.Float64Range(0.1, 0.5).Draw(t, "requests per step and node"), rapid.Float64Range(0, 0.9).Draw(t, "desk fails"),
+			rapid.Float64Range(0.1, 1.5).Draw(t, "calls"), rapid.Float64Range(0, 0.9).Draw(t, "stock fails"))
+		window := int(settings.Window / step)
+		for end := window; end <= len(f.repeats); end++ {
+			asked := sum(f.requests[end-window : end])
+			for _, back := range []int{window / 2, window} {
+				if end-window-back >= 0 {
+					asked = max(asked, sum(f.requests[end-window-back:end-back]))
+				}
+			}
+			if made := sum(f.repeats[end-window : end]); made > settings.Ratio*asked+settings.Constant {
+				t.Fatalf("%.0f arrivals beyond the first of %.0f requests until step %d", made, asked, end)
+			}
+		}
+	})
+}
+
+// Guards against calls that get no retry although few of them are repeated: repeated attempts that are reset before they call
+// do not use up the budget of the service that they would have called. The load is that of 26 nodes, half of the attempts is
+// reset at once, and a tenth of the calls fails.
+func TestCallsAreRetriedWhileTheCallingServiceFails(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newCallingFleet(26, 1)
+	f.play(600, 0.08, 0.5, 0.7, 0.1)
+	g.Expect(float64(f.granted)).To(gomega.BeNumerically(">=", 0.75*float64(f.asked)))
+}
+
+// Guards against retries that are charged although no endpoint received them.
+func TestReturnedRetriesAreFree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newCallingFleet(2, 1)
+	l := f.ledgers[0]
+	l.AddRequest(time.Second, stock, true)
+	for range 1000 {
+		grant := l.Take(time.Second, desk, true, f.view(0))
+		g.Expect(grant.Granted).To(gomega.BeTrue())
+		l.Return(time.Second, grant)
+	}
+}
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -39,11 +39,16 @@
 	// RepeatableRequests is the number of requests that may run more than once. It is not part of the reports to other
 	// nodes.
 	RepeatableRequests float64
+	// Runs is the number of attempts of repeatable requests that ran for so long that the endpoint may have made calls. It is
+	// not part of the reports to other nodes.
+	Runs float64
 }
 
 // Add returns the sum of two usages.
 func (u Usage) Add(o Usage) Usage {
-	return Usage{Requests: u.Requests + o.Requests, Retries: u.Retries + o.Retries, RepeatableRequests: u.RepeatableRequests + o.RepeatableRequests}
+	return Usage{
+		Requests: u.Requests + o.Requests, Retries: u.Retries + o.Retries, RepeatableRequests: u.RepeatableRequests + o.RepeatableRequests, Runs: u.Runs + o.Runs,
+	}
 }
 
 // GroupUsage holds the counts of a group of nodes of the fleet.
@@ -82,8 +87,7 @@
 	// number counts the steps since time 0.
 	number int64
 	Usage
-	// draw is a random number in [0, 1). It decides whether the node may make a retry while fewer retries remain than there
-	// are nodes.
+	// draw is a random number in [0, 1) by which the share of the node is rounded.
 	draw float64
 }
 
@@ -108,8 +112,13 @@
 	}
 }
 
-// AddRetries counts n retries. n may be a fraction for the expected number of calls that the retry of a request to another
-// service causes at this one.
+// AddRun counts an attempt of a repeatable request that ran for so long that the endpoint may have made calls.
+func (b *Budget) AddRun(now time.Duration) {
+	b.bucket(now).Runs++
+}
+
+// AddRetries counts n retries. n may be a fraction for the expected number of calls that a repeated run of a request to another
+// service makes to this one, and negative for retries that did not reach an endpoint.
 func (b *Budget) AddRetries(now time.Duration, n float64) {
 	b.bucket(now).Retries += n
 }
@@ -123,19 +132,18 @@
 			sum = sum.Add(entry.Usage)
 		}
 	}
+	// Retries are given back in a later bucket than the one in which they were counted.
+	sum.Retries = max(sum.Retries, 0)
 	return sum
 }
 
-// AllowsRetry reports whether the node may make a retry, given the number of retries that remain for all the nodes
-// together. The share of a node covers the retries that it made recently, because the other nodes may not know of them. A
-// share below one is the probability with which the node may make one retry in the current bucket.
-func (b *Budget) AllowsRetry(now time.Duration, remaining float64, nodes int) bool {
+// AllowsRetries reports whether the node may make n retries, given the number of retries that remain for all the nodes
+// together. n may be a fraction for an expected number. The share of a node covers the retries that it made recently, because
+// the other nodes may not know of them. It is rounded up or down by chance, so that the nodes together use what remains even
+// if it is less than one retry for each.
+func (b *Budget) AllowsRetries(now time.Duration, n, remaining float64, nodes int) bool {
 	quota := remaining / float64(max(nodes, 1))
-	recent := b.recent(now)
-	if quota < 1 {
-		return recent == 0 && b.bucket(now).draw < quota
-	}
-	return recent+1 <= quota
+	return quota > 0 && b.recent(now)+n <= quota+b.bucket(now).draw
 }
 
 // recent returns the number of retries in the current and the previous bucket. Other nodes may not have received them in a
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -68,7 +68,7 @@
 			unreachable.AddUnreachable(f.beforeSplit[n], share, now-f.splitAt, settings.Window)
 		}
 	}
-	return f.budgets[node].AllowsRetry(now, settings.Remaining(reachable, unreachable), nodes)
+	return f.budgets[node].AllowsRetries(now, 1, settings.Remaining(reachable, unreachable), nodes)
 }
 
 // Guards against more retries in the whole fleet than the limit allows in any window, at any load, although nodes receive
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -7,6 +7,7 @@
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/reports"
 )
@@ -44,8 +45,12 @@
 	host string
 	// incarnation identifies the node process on the host, as known before the attempt is sent; 0 if it is not known.
 	incarnation uint64
-	// number is the position of the attempt among those of the request, from 1.
+	// number is the position of the attempt among those of the request, from 1, and begin the time at which it began.
 	number int
+	begin  time.Time
+	// retry is the charge to the retry budget for the attempt, or nil if it needs none, because no earlier attempt has reached
+	// an endpoint or still may.
+	retry  *retrybudget.Grant
 	reason placement.Reason
 	// serviceTime is the time that the endpoint is expected to need for the request.
 	serviceTime time.Duration
@@ -173,12 +178,6 @@
 	return time.Until(fl.request.deadline) >= exploreTime*usual
 }
 
-// hasSpareRetries reports whether more of the fleet's retry budget remains than is reserved for failures.
-func (f *Forwarder) hasSpareRetries(service string) bool {
-	remaining, limit := f.retryBudget(service)
-	return remaining >= optionalReserve*limit
-}
-
 func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates []placement.Candidate, revision uint64) {
 	f.options.Decisions.Record(decision.Decision{
 		RequestID: fl.request.id, Step: stepChoose, Service: fl.request.service, Route: fl.request.route.Name,
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -28,6 +29,9 @@
 	// minRetryTime is the least time to the deadline for which another attempt is made. Half of the expected service time
 	// must remain too.
 	minRetryTime = 20 * time.Millisecond
+	// callShare is the share of the usual service time from which on a failed attempt counts as having made its calls to other
+	// services. One that fails earlier has hardly begun.
+	callShare = 0.35
 )
 
 // answer is a response of an endpoint, of which the beginning of the body has been read.
@@ -89,6 +93,8 @@
 	busyRefusals int
 	refusals     int
 	rejections   int
+	// unused holds the retries that were charged to the retry budget and are not used by an attempt.
+	unused []retrybudget.Grant
 	// answer is the latest answer with a 5xx status. failure is the first failure after which the request may have run, or
 	// else the latest failure.
 	answer  *answer
@@ -101,6 +107,7 @@
 		forwarder: f, request: r, tried: make(map[string]bool), busy: make(map[string]bool), open: make(map[*pick]context.CancelFunc),
 		results: make(chan result, maxRefusals+maxRejections+r.route.Attempts+1),
 	}
+	defer fl.returnUnused()
 	defer fl.cancelOpen()
 	if !fl.launch(ctx) {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoEndpoint, stepChoose, "", nil)
@@ -108,6 +115,7 @@
 	for len(fl.open) > 0 {
 		got := fl.wait(ctx)
 		delete(fl.open, got.pick)
+		fl.settle(got)
 		if got.answer != nil && !got.answer.failed() {
 			return got.answer, nil
 		}
@@ -144,7 +152,11 @@
 		return false
 	}
 	fl.attempts++
-	p.number = fl.attempts
+	p.number, p.begin = fl.attempts, time.Now()
+	if n := len(fl.unused); n > 0 {
+		retry := fl.unused[n-1]
+		p.retry, fl.unused = &retry, fl.unused[:n-1]
+	}
 	fl.tried[p.endpoint.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
 	fl.open[p], fl.latest = cancel, p
@@ -206,7 +218,7 @@
 	switch failure := got.failure; {
 	case failure.Outcome != outcome.NotRun:
 		fl.reached++
-	case failure.Reason == outcome.ReasonEndpointRejected, failure.Reason == outcome.ReasonEndpointReplaced:
+	case failure.Arrived():
 		fl.reached++
 		fl.rejections++
 	default:
@@ -266,14 +278,52 @@
 }
 
 // takeRetry charges a retry to the retry budget and reports whether the budget allows it. If not, it records that as denied.
+// A retry that was charged for an earlier attempt which reached no endpoint is used first.
 func (fl *flight) takeRetry(denied string) bool {
+	if len(fl.unused) > 0 {
+		return true
+	}
 	g := fl.forwarder.takeRetry(fl.request.service, fl.repeatable())
-	if !g.granted {
+	if !g.Granted {
 		inputs := fl.inputs()
-		inputs["budget_left"], inputs["budget"], inputs["nodes"] = int(g.remaining), int(g.limit), g.nodes
+		inputs["budget_left"], inputs["budget"], inputs["nodes"] = int(g.Remaining), int(g.Limit), fl.forwarder.options.Conditions.Nodes()
 		fl.recordInputs(denied, "budget", inputs)
+		return false
+	}
+	fl.unused = append(fl.unused, g)
+	return true
+}
+
+// settle settles the charge for an ended attempt if it was a retry: nothing is charged if it reached no endpoint, and no calls
+// to other services if it ended before the endpoint may have made any.
+func (fl *flight) settle(got result) {
+	called := got.mayHaveCalled()
+	if called && fl.repeatable() {
+		fl.forwarder.countRun(fl.request.service)
+	}
+	switch retry := got.pick.retry; {
+	case retry == nil:
+	case got.failure != nil && !got.failure.Arrived():
+		fl.unused = append(fl.unused, *retry)
+	case !called:
+		fl.forwarder.returnCalls(*retry)
+	}
+}
+
+// mayHaveCalled reports whether the endpoint may have made calls to other services: it answered, or the attempt lasted for
+// callShare of its usual service time and may have run.
+func (r *result) mayHaveCalled() bool {
+	if r.answer != nil {
+		return true
+	}
+	return r.failure.Outcome != outcome.NotRun && time.Since(r.pick.begin) >= time.Duration(callShare*float64(r.pick.serviceTime))
+}
+
+// returnUnused gives the charges back that no attempt has used.
+func (fl *flight) returnUnused() {
+	for _, retry := range fl.unused {
+		fl.forwarder.returnRetry(retry)
 	}
-	return g.granted
 }
 
 var errAnsweredByOther = errors.New("attempt cancelled: another attempt of the request was answered first")
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -46,6 +46,9 @@
 	// Repeats returns the requests and retries that the other nodes counted for a service in a window: the sum for those
 	// whose reports arrive, and the sum for those whose reports are overdue.
 	Repeats(service string, window time.Duration) (reporting, overdue retrybudget.GroupUsage)
+	// Origins returns the requests that the other nodes counted for a service, by the service of the endpoints on their hosts,
+	// which serviceOf returns for an IP address.
+	Origins(service string, serviceOf func(ip string) string) map[string]retrybudget.Origin
 	// Incarnation returns the incarnation of the process which last reported from a host, or 0 if there is none.
 	Incarnation(ip string) uint64
 }
@@ -100,8 +103,8 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	pools   map[string]*transport.Pool     // by IP address of the host
-	budgets map[string]*retrybudget.Budget // by service
+	pools   map[string]*transport.Pool // by IP address of the host
+	retries *retrybudget.Ledger
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -109,13 +112,14 @@
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Forwarder{
 		options: options,
 		ids:     attempts.NewIDs(),
 		bodies:  relay.NewBodyMemory(bodyMemoryBytes),
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:     rng,
 		pools:   make(map[string]*transport.Pool),
-		budgets: make(map[string]*retrybudget.Budget),
+		retries: retrybudget.NewLedger(options.Budget, rng),
 		done:    make(chan struct{}),
 	}
 }
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -114,6 +114,25 @@
 	return live, unreachable
 }
 
+// Origins returns the requests that other nodes counted for a service, by the service of the endpoints on their hosts.
+// The function serviceOf returns the latter for an IP address. Nodes whose reports are overdue are left out.
+func (s *Service) Origins(service string, serviceOf func(ip string) string) map[string]retrybudget.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	origins := make(map[string]retrybudget.Origin)
+	for ip, h := range s.hosts {
+		if !s.live(now, h) {
+			continue
+		}
+		o := origins[serviceOf(ip)]
+		o.Hosts++
+		o.Requests += h.report.usage(service).Requests
+		origins[serviceOf(ip)] = o
+	}
+	return origins
+}
+
 // Nodes returns the number of live nodes, this one included.
 func (s *Service) Nodes() int {
 	s.mu.Lock()
