Refuse a queue before it drains into a failing endpoint

A failed request frees its slot, the next one of the queue is sent and fails at once too; the queue was refused only by the check that runs every 50 ms.

Change: the queue is refused when the outcome that makes the endpoint suspect is observed, before the slot is granted again.

What is refused at a crest finds other queues full.

--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -342,6 +342,7 @@
 		e.observeTime(r.Route, took)
 	}
 	crossed := e.crossedDegraded(now)
+	e.refuseIfSuspect(now)
 	e.mu.Unlock()
 	if crossed || o != faultfilter.Success {
 		e.dispatcher.options.ConditionChanged()
@@ -404,8 +405,13 @@
 	return ok && peers.FailPerMille < healthyBelow*1000
 }
 
-// refuseWaiting refuses the queued requests because the endpoint is suspect. The caller holds the lock.
-func (e *endpoint) refuseWaiting() {
+// refuseIfSuspect refuses the queued requests if the endpoint probably fails and the others of its service do not. It must be
+// called before a slot is granted again, because an endpoint that fails fast would otherwise fail the whole queue within
+// milliseconds. The caller holds the lock.
+func (e *endpoint) refuseIfSuspect(now time.Duration) {
+	if len(e.waiting) == 0 || e.filter.Probability(now) < suspectFrom || !e.peersHealthy() {
+		return
+	}
 	for attempt := range e.waiting {
 		if e.queue.Cancel(attempt) {
 			e.decide(attempt, errSuspect)
@@ -427,9 +433,7 @@
 			e.lastOutcome, e.hasOutcome = now, true
 		}
 	}
-	if len(e.waiting) > 0 && e.filter.Probability(now) >= suspectFrom && e.peersHealthy() {
-		e.refuseWaiting()
-	}
+	e.refuseIfSuspect(now)
 	e.advance(now)
 	return e.crossedDegraded(now) || stalled
 }
