Scale the cost of failures with the service time

Costs were expressed in target latencies. That of a call is close to its service time (150 ms against 100), so that a certain failure cost 90 ms, less than the usual differences between service times of endpoints and zones. The calling request fails with its call.

Change: the unit of costs is the target latency, but at least four median service times of the service.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -71,16 +71,18 @@
 )
 
 const (
-	// The cost of a failed request, in units of the target latency: high if the request may run only once, because it is
+	// The cost of a failed request, in cost units: high if the request may run only once, because it is
 	// then lost, and low if it can be repeated.
 	singleRunFailCost  = 4.0
 	repeatableFailCost = 0.6
-	// The cost of an endpoint in another zone, in units of the target latency. Traffic between zones is charged by the
+	// The cost of an endpoint in another zone, in cost units. Traffic between zones is charged by the
 	// byte.
 	otherZoneCost      = 0.1
 	largeOtherZoneCost = 0.5
-	// costSpread is the cost difference, in units of the target latency, that makes a choice less likely by the factor e.
+	// costSpread is the cost difference, in cost units, that makes a choice less likely by the factor e.
 	costSpread = 0.05
+	// minUnitServiceTimes is the smallest cost unit, in median service times.
+	minUnitServiceTimes = 4
 	// minFreeSlots is the number of free slots that an endpoint without free slots is weighted with.
 	minFreeSlots = 0.2
 	// unreliableFrom is the probability of failing from which the free slots of an endpoint are not counted.
@@ -145,7 +147,7 @@
 			lowest = min(lowest, costs[n])
 		}
 	}
-	scale := costSpread * r.TargetLatency.Seconds()
+	scale := costSpread * r.costUnit()
 	total, chosen := 0.0, -1
 	for n := range candidates {
 		if candidates[n].Tried {
@@ -216,9 +218,16 @@
 	return free
 }
 
+// costUnit returns the unit of the costs that are not times, in seconds: the target latency, but at least
+// minUnitServiceTimes service times. With a shorter unit, as for calls whose target latency is close to their service time, a
+// failure would cost less than the usual differences between service times.
+func (r Request) costUnit() float64 {
+	return max(r.TargetLatency, minUnitServiceTimes*r.MedianServiceTime).Seconds()
+}
+
 // Cost returns the expected cost of sending the request to the candidate, as a time in seconds.
 func Cost(r Request, c *Candidate) float64 {
-	target := r.TargetLatency.Seconds()
+	unit := r.costUnit()
 	failure, zone := singleRunFailCost, otherZoneCost
 	if r.Repeatable {
 		failure = repeatableFailCost
@@ -233,12 +242,12 @@
 	}
 	// A failed request is charged at least the median service time, which its next attempt needs, so that an endpoint gains
 	// no advantage by failing fast.
-	cost := fails*failure*target + service + fails*max(r.MedianServiceTime.Seconds()-service, 0) + c.RoundTrip.Seconds()
+	cost := fails*failure*unit + service + fails*max(r.MedianServiceTime.Seconds()-service, 0) + c.RoundTrip.Seconds()
 	if free := c.freeSlots(); free < 1 {
 		cost += (1 - free) / float64(max(c.Slots, 1)) * service
 	}
 	if c.OtherZone {
-		cost += zone * target
+		cost += zone * unit
 	}
 	return cost
 }
