Bound the work of the retry ledger

Cause: the estimate of calls went through all services with endpoints at each choice, which at the design size are many, and a node whose few attempts had all been reset at once took that for no run at all, which made the calls of a run too many.

Change: only services for which requests were counted are looked at; one run is assumed. The function that estimates is not exported; package and comments say which load they answer.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -71,17 +71,16 @@
 )
 
 const (
-	// The cost of a failed request, in cost units: high if the request may run only once, because it is
-	// then lost, and low if it can be repeated.
+	// The cost of a failed request, in the unit of Request.costUnit: high if the request may run only once, because it is then
+	// lost, and low if it can be repeated.
 	singleRunFailCost  = 4.0
 	repeatableFailCost = 0.6
-	// The cost of an endpoint in another zone, in cost units. Traffic between zones is charged by the
-	// byte.
+	// The cost of an endpoint in another zone, in the same unit. Traffic between zones is charged by the byte.
 	otherZoneCost      = 0.1
 	largeOtherZoneCost = 0.5
-	// costSpread is the cost difference, in cost units, that makes a choice less likely by the factor e.
+	// costSpread is the cost difference, in the same unit, that makes a choice less likely by the factor e.
 	costSpread = 0.05
-	// minUnitServiceTimes is the smallest cost unit, in median service times.
+	// minUnitServiceTimes is the smallest unit of costs, in median service times.
 	minUnitServiceTimes = 4
 	// minFreeSlots is the number of free slots that an endpoint without free slots is weighted with.
 	minFreeSlots = 0.2
--- a/core/retrybudget/ledger.go
+++ b/core/retrybudget/ledger.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// CallsPerRun begins with an assumption: assumedCalls in each of assumedRuns runs.
+// The estimate of the calls in a run begins with an assumption: assumedCalls in each of assumedRuns runs.
 const (
 	assumedCalls = 1.5
 	assumedRuns  = 10
@@ -18,7 +18,7 @@
 type Fleet struct {
 	// Nodes is the number of reachable nodes, this one included.
 	Nodes int
-	// Services are the names of all services with endpoints.
+	// Services are the services for which other nodes reported requests.
 	Services []string
 	// Counts returns the counts that other nodes reported for a service: of those that can be reached, and of those that
 	// cannot. The share of the reachable group includes this node.
@@ -132,11 +132,14 @@
 
 // callsPerRun estimates the calls to each other service that a run of a repeatable request of the service makes.
 func (l *Ledger) callsPerRun(now time.Duration, service string, f Fleet) map[string]float64 {
-	runs := l.fleetUsage(now, service, f).Runs
-	calls := make(map[string]float64, len(f.Services))
 	for _, name := range f.Services {
+		l.budget(name)
+	}
+	runs := l.fleetUsage(now, service, f).Runs
+	calls := make(map[string]float64, len(l.budgets))
+	for name := range l.budgets {
 		if name != service {
-			calls[name] = CallsPerRun(service, runs, f.Origins(name))
+			calls[name] = estimateCalls(service, runs, f.Origins(name))
 		}
 	}
 	return calls
@@ -176,8 +179,9 @@
 	own := l.budget(service).Usage(now)
 	reachable, _ := f.Counts(service)
 	fleet := own.Add(reachable.Usage)
-	scale := fleet.Requests / max(own.Requests, 1)
-	fleet.RepeatableRequests, fleet.Runs = scale*own.RepeatableRequests, scale*own.Runs
+	fleet.RepeatableRequests = fleet.Requests * own.RepeatableRequests / max(own.Requests, 1)
+	// One more request that runs is assumed, so that a node with few requests does not conclude that none runs.
+	fleet.Runs = fleet.Requests * (own.Runs + 1) / (own.Requests + 1)
 	return fleet
 }
 
@@ -191,11 +195,11 @@
 	return b
 }
 
-// CallsPerRun estimates how many calls to another service one run of a repeatable request makes. Endpoints do not tell on
+// estimateCalls estimates how many calls to another service one run of a repeatable request makes. Endpoints do not tell on
 // behalf of which request they call, so requests to the other service count as calls as far as more of them originate on the
 // hosts of the calling service than on other hosts, which only have callers. The numbers are those of a window: runs of
 // repeatable requests of the calling service, and requests to the other service by the service of their hosts.
-func CallsPerRun(caller string, runs float64, origins map[string]Origin) float64 {
+func estimateCalls(caller string, runs float64, origins map[string]Origin) float64 {
 	var others Origin
 	for service, o := range origins {
 		if service != caller {
--- a/core/retrybudget/ledger_test.go
+++ b/core/retrybudget/ledger_test.go
@@ -1,7 +1,9 @@
 package retrybudget_test
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,7 +69,7 @@
 // view returns what the other nodes have reported to a node.
 func (f *callingFleet) view(node int) retrybudget.Fleet {
 	share := 1 / float64(len(f.ledgers))
-	return retrybudget.Fleet{Nodes: len(f.ledgers), Services: []string{desk, stock}, Counts: func(service string) (reachable, unreachable retrybudget.GroupUsage) {
+	return retrybudget.Fleet{Nodes: len(f.ledgers), Services: f.services(), Counts: func(service string) (reachable, unreachable retrybudget.GroupUsage) {
 		reachable.Share = share
 		for n, usage := range f.reported {
 			if n != node {
@@ -91,6 +93,15 @@
 	}}
 }
 
+// services returns the services for which a node has reported requests.
+func (f *callingFleet) services() []string {
+	var names []string
+	for _, usage := range f.reported {
+		names = slices.AppendSeq(names, maps.Keys(usage))
+	}
+	return names
+}
+
 // hostsDesk reports whether the endpoint on the host of a node is one of desk. Every fourth is one of stock.
 func (f *callingFleet) hostsDesk(node int) bool {
 	return node%4 != 1
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -5,6 +5,11 @@
 // retries that remain are divided among the nodes until the next reports arrive, so that the nodes together do not exceed
 // the limit. Nodes that cannot be reached also make retries on their own, so a group of nodes that reach each other uses
 // only the part of the constant that corresponds to its share of the fleet.
+//
+// A Budget holds the counts of a node for one service, a Ledger those for all, since a retry also repeats the calls of its
+// request to other services. It is designed for days on which the endpoints of a service fail and its runs call another
+// service: the retries of the one must not use up what the calls to the other need, and their calls must not exceed the other's
+// limit.
 package retrybudget
 
 import (
@@ -47,7 +52,8 @@
 // Add returns the sum of two usages.
 func (u Usage) Add(o Usage) Usage {
 	return Usage{
-		Requests: u.Requests + o.Requests, Retries: u.Retries + o.Retries, RepeatableRequests: u.RepeatableRequests + o.RepeatableRequests, Runs: u.Runs + o.Runs,
+		Requests: u.Requests + o.Requests, Retries: u.Retries + o.Retries,
+		RepeatableRequests: u.RepeatableRequests + o.RepeatableRequests, Runs: u.Runs + o.Runs,
 	}
 }
 
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -1,9 +1,6 @@
 package forward
 
 import (
-	"maps"
-	"slices"
-
 	"agatepulley.example/agatepulley/core/retrybudget"
 )
 
@@ -74,7 +71,8 @@
 	return f.retries.Usage(now)
 }
 
-// fleet returns what the other nodes have reported on their requests and retries. Its functions need the lock.
+// fleet returns what the other nodes have reported on their requests and retries. Its function Origins is called with the lock
+// held.
 func (f *Forwarder) fleet() retrybudget.Fleet {
 	view := f.options.View()
 	serviceOf := func(ip string) string {
@@ -85,7 +83,7 @@
 	}
 	return retrybudget.Fleet{
 		Nodes:    f.options.Conditions.Nodes(),
-		Services: slices.Collect(maps.Keys(view.ByService)),
+		Services: f.options.Conditions.CountedServices(),
 		Counts: func(service string) (reachable, unreachable retrybudget.GroupUsage) {
 			return f.options.Conditions.Repeats(service, f.options.Budget.Window)
 		},
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -46,6 +46,8 @@
 	// Repeats returns the requests and retries that the other nodes counted for a service in a window: the sum for those
 	// whose reports arrive, and the sum for those whose reports are overdue.
 	Repeats(service string, window time.Duration) (reporting, overdue retrybudget.GroupUsage)
+	// CountedServices returns the services for which other nodes have counted requests. A name may occur more than once.
+	CountedServices() []string
 	// Origins returns the requests that the other nodes counted for a service, by the service of the endpoints on their hosts,
 	// which serviceOf returns for an IP address.
 	Origins(service string, serviceOf func(ip string) string) map[string]retrybudget.Origin
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -114,6 +114,22 @@
 	return live, unreachable
 }
 
+// CountedServices returns the services for which other nodes have counted requests. A name may occur more than once.
+func (s *Service) CountedServices() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	var names []string
+	for _, h := range s.hosts {
+		if s.live(now, h) {
+			for _, counted := range h.report.Repeats {
+				names = append(names, counted.Service)
+			}
+		}
+	}
+	return names
+}
+
 // Origins returns the requests that other nodes counted for a service, by the service of the endpoints on their hosts.
 // The function serviceOf returns the latter for an IP address. Nodes whose reports are overdue are left out.
 func (s *Service) Origins(service string, serviceOf func(ip string) string) map[string]retrybudget.Origin {
