--- a/core/retrybudget/ledger.go
+++ b/core/retrybudget/ledger.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -11,7 +12,7 @@
 	assumedRuns  = 10
 )
 
-// fewCalls is the number of calls in a run below which a service is not taken to be called: a small number follows from chance.
+// fewCalls is the part of a call in a run that is taken for chance.
 const fewCalls = 0.1
 
 // Fleet is what a node knows of the other nodes at one moment.
@@ -113,7 +114,7 @@
 	needed := l.callsPerRun(now, service, f)
 	needed[service] = 1
 	for name, n := range needed {
-		if g := l.Remaining(now, name, f); n >= fewCalls && g.Remaining-n < share*g.Limit {
+		if g := l.Remaining(now, name, f); g.Remaining-n < share*g.Limit {
 			return false
 		}
 	}
@@ -130,7 +131,8 @@
 	return true
 }
 
-// callsPerRun estimates the calls to each other service that a run of a repeatable request of the service makes.
+// callsPerRun returns the calls to other services that a repeated run of a request of the service may make. They are rounded up:
+// a request that is repeated because its call failed is one of those that call, while the estimate is a mean over all.
 func (l *Ledger) callsPerRun(now time.Duration, service string, f Fleet) map[string]float64 {
 	for _, name := range f.Services {
 		l.budget(name)
@@ -138,8 +140,11 @@
 	runs := l.fleetUsage(now, service, f).Runs
 	calls := make(map[string]float64, len(l.budgets))
 	for name := range l.budgets {
-		if name != service {
-			calls[name] = estimateCalls(service, runs, f.Origins(name))
+		if name == service {
+			continue
+		}
+		if n := math.Ceil(estimateCalls(service, runs, f.Origins(name)) - fewCalls); n > 0 {
+			calls[name] = n
 		}
 	}
 	return calls
--- a/core/retrybudget/ledger_test.go
+++ b/core/retrybudget/ledger_test.go
@@ -24,6 +24,8 @@
 type run struct {
 	node  int
 	grant retrybudget.Grant
+	// calls is set if the request was repeated because its call failed, so that it certainly calls again.
+	calls bool
 }
 
 // callingFleet is a number of nodes whose endpoints of service desk call service stock in each run.
@@ -122,14 +124,13 @@
 				continue
 			}
 			l.AddRequest(now, desk, true)
-			if f.rng.Float64() >= deskFails {
-				l.AddRun(now, desk)
-				f.call(tick, f.deskHost(), calls, stockFails, false)
+			if f.rng.Float64() < deskFails {
+				f.repeat(tick, n, false)
 				continue
 			}
-			if grant := f.retry(now, n, desk); grant.Granted {
-				end := tick + int(runTime/step)
-				f.runs[end] = append(f.runs[end], run{n, grant})
+			l.AddRun(now, desk)
+			if !f.call(tick, calls, stockFails, false) {
+				f.repeat(tick, n, true)
 			}
 		}
 		for _, r := range f.runs[tick] {
@@ -138,11 +139,23 @@
 				continue
 			}
 			f.ledgers[r.node].AddRun(now, desk)
-			f.call(tick, f.deskHost(), calls, stockFails, true)
+			if r.calls {
+				f.call(tick, max(calls, 1), stockFails, true)
+			} else {
+				f.call(tick, calls, stockFails, true)
+			}
 		}
 	}
 }
 
+// repeat asks for the retry of a request to desk and starts its run if it is granted.
+func (f *callingFleet) repeat(tick, node int, calls bool) {
+	if grant := f.retry(time.Duration(tick)*step, node, desk); grant.Granted {
+		end := tick + int(runTime/step)
+		f.runs[end] = append(f.runs[end], run{node, grant, calls})
+	}
+}
+
 // deskHost returns a random node beside an endpoint of desk.
 func (f *callingFleet) deskHost() int {
 	for {
@@ -152,9 +165,11 @@
 	}
 }
 
-// call makes the calls of a run of desk through the node beside its endpoint.
-func (f *callingFleet) call(tick, node int, calls, fails float64, repeated bool) {
-	now, l := time.Duration(tick)*step, f.ledgers[node]
+// call makes the calls of a run of desk through the node beside its endpoint. A call that fails may be retried, and then
+// succeeds. It reports whether all calls succeeded.
+func (f *callingFleet) call(tick int, calls, fails float64, repeated bool) bool {
+	node, now, succeeded := f.deskHost(), time.Duration(tick)*step, true
+	l := f.ledgers[node]
 	for calls += f.rng.Float64(); calls >= 1; calls-- {
 		l.AddRequest(now, stock, true)
 		l.AddRun(now, stock)
@@ -162,10 +177,16 @@
 		if repeated {
 			f.repeats[tick]++
 		}
-		if f.rng.Float64() < fails && f.retry(now, node, stock).Granted {
+		if f.rng.Float64() >= fails {
+			continue
+		}
+		if f.retry(now, node, stock).Granted {
 			f.repeats[tick]++
+		} else {
+			succeeded = false
 		}
 	}
+	return succeeded
 }
 
 // Guards against more arrivals beyond the first than the limit allows at a service that gets its requests as calls of another
