Charge whole calls only for a run that failed

Only a request whose run failed is one that has probably called; what was reset at once or rejected is any.

Change: the ledger is told the kind of the retry: of a request that has not run, that probably has not, or whose run failed.

--- a/core/retrybudget/ledger.go
+++ b/core/retrybudget/ledger.go
@@ -12,7 +12,7 @@
 	assumedRuns  = 10
 )
 
-// fewCalls is the part of a call in a run that is taken for chance.
+// fewCalls is the number of calls in a run up to which an estimate is taken for chance.
 const fewCalls = 0.1
 
 // Fleet is what a node knows of the other nodes at one moment.
@@ -40,6 +40,19 @@
 	return o.Requests / float64(max(o.Hosts, 1))
 }
 
+// Kind is the kind of a retry. It determines the calls to other services that the retry may repeat.
+type Kind int
+
+const (
+	// Resend sends a request again that has not run. It repeats no calls.
+	Resend Kind = iota
+	// Repeat sends a request again that may have run, and probably has not.
+	Repeat
+	// RepeatRun sends a request again whose run failed. If its service calls others, a call has probably failed, and so it will
+	// call again.
+	RepeatRun
+)
+
 // Grant is the decision on a retry, with the values that it was based on.
 type Grant struct {
 	Granted bool
@@ -74,13 +87,12 @@
 	l.budget(service).AddRun(now)
 }
 
-// Take counts a retry if the budget allows it. A retry of a repeatable request may run the request a second time, so its calls
-// are counted too and need room in the budgets of the services that it may call. Other requests are sent again only if they
-// have not run.
-func (l *Ledger) Take(now time.Duration, service string, repeatable bool, f Fleet) Grant {
+// Take counts a retry if the budget allows it. The calls that its run may make are counted too and need room in the budgets of
+// the services that it may call.
+func (l *Ledger) Take(now time.Duration, service string, kind Kind, f Fleet) Grant {
 	g := l.Remaining(now, service, f)
-	if repeatable {
-		g.calls = l.callsPerRun(now, service, f)
+	if kind != Resend {
+		g.calls = l.callsPerRun(now, service, kind, f)
 	}
 	if !l.budget(service).AllowsRetries(now, 1, g.Remaining, f.Nodes) || !l.callsAllowed(now, g.calls, f) {
 		return g
@@ -111,7 +123,7 @@
 // HasSpare reports whether the given share of the limit would remain after a retry, for the service and for those that a
 // repeated run may call.
 func (l *Ledger) HasSpare(now time.Duration, service string, share float64, f Fleet) bool {
-	needed := l.callsPerRun(now, service, f)
+	needed := l.callsPerRun(now, service, Repeat, f)
 	needed[service] = 1
 	for name, n := range needed {
 		if g := l.Remaining(now, name, f); g.Remaining-n < share*g.Limit {
@@ -131,9 +143,9 @@
 	return true
 }
 
-// callsPerRun returns the calls to other services that a repeated run of a request of the service may make. They are rounded up:
-// a request that is repeated because its call failed is one of those that call, while the estimate is a mean over all.
-func (l *Ledger) callsPerRun(now time.Duration, service string, f Fleet) map[string]float64 {
+// callsPerRun returns the calls to other services that a run of a repeatable request of the service may make: the mean over all
+// runs, rounded up for a request that has called before.
+func (l *Ledger) callsPerRun(now time.Duration, service string, kind Kind, f Fleet) map[string]float64 {
 	for _, name := range f.Services {
 		l.budget(name)
 	}
@@ -143,8 +155,12 @@
 		if name == service {
 			continue
 		}
-		if n := math.Ceil(estimateCalls(service, runs, f.Origins(name)) - fewCalls); n > 0 {
-			calls[name] = n
+		n := estimateCalls(service, runs, f.Origins(name))
+		if n < fewCalls {
+			continue
+		}
+		if calls[name] = n; kind == RepeatRun {
+			calls[name] = math.Ceil(n - fewCalls)
 		}
 	}
 	return calls
--- a/core/retrybudget/ledger_test.go
+++ b/core/retrybudget/ledger_test.go
@@ -24,8 +24,7 @@
 type run struct {
 	node  int
 	grant retrybudget.Grant
-	// calls is set if the request was repeated because its call failed, so that it certainly calls again.
-	calls bool
+	kind  retrybudget.Kind
 }
 
 // callingFleet is a number of nodes whose endpoints of service desk call service stock in each run.
@@ -43,9 +42,9 @@
 }
 
 // retry asks a node for a retry.
-func (f *callingFleet) retry(now time.Duration, node int, service string) retrybudget.Grant {
+func (f *callingFleet) retry(now time.Duration, node int, service string, kind retrybudget.Kind) retrybudget.Grant {
 	f.wanted[service]++
-	g := f.ledgers[node].Take(now, service, true, f.view(node))
+	g := f.ledgers[node].Take(now, service, kind, f.view(node))
 	if g.Granted {
 		f.granted[service]++
 	}
@@ -125,12 +124,12 @@
 			}
 			l.AddRequest(now, desk, true)
 			if f.rng.Float64() < deskFails {
-				f.repeat(tick, n, false)
+				f.repeat(tick, n, retrybudget.Repeat)
 				continue
 			}
 			l.AddRun(now, desk)
 			if !f.call(tick, calls, stockFails, false) {
-				f.repeat(tick, n, true)
+				f.repeat(tick, n, retrybudget.RepeatRun)
 			}
 		}
 		for _, r := range f.runs[tick] {
@@ -139,7 +138,8 @@
 				continue
 			}
 			f.ledgers[r.node].AddRun(now, desk)
-			if r.calls {
+			// A request that is repeated because its call failed certainly calls again.
+			if r.kind == retrybudget.RepeatRun {
 				f.call(tick, max(calls, 1), stockFails, true)
 			} else {
 				f.call(tick, calls, stockFails, true)
@@ -149,10 +149,10 @@
 }
 
 // repeat asks for the retry of a request to desk and starts its run if it is granted.
-func (f *callingFleet) repeat(tick, node int, calls bool) {
-	if grant := f.retry(time.Duration(tick)*step, node, desk); grant.Granted {
+func (f *callingFleet) repeat(tick, node int, kind retrybudget.Kind) {
+	if grant := f.retry(time.Duration(tick)*step, node, desk, kind); grant.Granted {
 		end := tick + int(runTime/step)
-		f.runs[end] = append(f.runs[end], run{node, grant, calls})
+		f.runs[end] = append(f.runs[end], run{node, grant, kind})
 	}
 }
 
@@ -180,7 +180,7 @@
 		if f.rng.Float64() >= fails {
 			continue
 		}
-		if f.retry(now, node, stock).Granted {
+		if f.retry(now, node, stock, retrybudget.Repeat).Granted {
 			f.repeats[tick]++
 		} else {
 			succeeded = false
@@ -243,7 +243,7 @@
 	l := f.ledgers[0]
 	l.AddRequest(time.Second, stock, true)
 	for range 1000 {
-		grant := l.Take(time.Second, desk, true, f.view(0))
+		grant := l.Take(time.Second, desk, retrybudget.Repeat, f.view(0))
 		g.Expect(grant.Granted).To(gomega.BeTrue())
 		l.Return(time.Second, grant)
 	}
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -21,12 +21,12 @@
 }
 
 // takeRetry counts a retry if the fleet's budget allows one.
-func (f *Forwarder) takeRetry(service string, repeatable bool) retrybudget.Grant {
+func (f *Forwarder) takeRetry(service string, kind retrybudget.Kind) retrybudget.Grant {
 	fleet := f.fleet()
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retries.Take(now, service, repeatable, fleet)
+	return f.retries.Take(now, service, kind, fleet)
 }
 
 // returnRetry gives back a retry that no endpoint received.
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -197,7 +197,7 @@
 	if ctx.Err() != nil || fl.possibleRuns()+len(fl.open) >= fl.request.route.Attempts {
 		return
 	}
-	if !fl.forwarder.hasFreeSlot(fl) || !fl.forwarder.hasSpareRetries(fl.request.service) || !fl.takeRetry("no-hedge") {
+	if !fl.forwarder.hasFreeSlot(fl) || !fl.forwarder.hasSpareRetries(fl.request.service) || !fl.takeRetry("no-hedge", retrybudget.Repeat) {
 		return
 	}
 	if fl.launch(ctx) {
@@ -246,7 +246,7 @@
 	if got.failure != nil && got.failure.Outcome == outcome.NotRun {
 		return fl.mayResend(got.failure)
 	}
-	if len(fl.open) > 0 || !fl.repeatable() || fl.possibleRuns() >= fl.request.route.Attempts || !fl.takeRetry("no-retry") {
+	if len(fl.open) > 0 || !fl.repeatable() || fl.possibleRuns() >= fl.request.route.Attempts || !fl.takeRetry("no-retry", got.retryKind()) {
 		return false
 	}
 	cause := got.reason()
@@ -266,7 +266,7 @@
 		return false
 	}
 	// The budget is charged only if an earlier attempt reached an endpoint or still may.
-	if fl.reached+len(fl.open) > 0 && !fl.takeRetry("no-retry") {
+	if fl.reached+len(fl.open) > 0 && !fl.takeRetry("no-retry", retrybudget.Repeat) {
 		return false
 	}
 	fl.record("resend", string(failure.Reason))
@@ -280,11 +280,14 @@
 
 // takeRetry charges a retry to the retry budget and reports whether the budget allows it. If not, it records that as denied.
 // A retry that was charged for an earlier attempt which reached no endpoint is used first.
-func (fl *flight) takeRetry(denied string) bool {
+func (fl *flight) takeRetry(denied string, kind retrybudget.Kind) bool {
 	if len(fl.unused) > 0 {
 		return true
 	}
-	g := fl.forwarder.takeRetry(fl.request.service, fl.repeatable())
+	if !fl.repeatable() {
+		kind = retrybudget.Resend
+	}
+	g := fl.forwarder.takeRetry(fl.request.service, kind)
 	if !g.Granted {
 		inputs := fl.inputs()
 		inputs["budget_left"], inputs["budget"], inputs["nodes"] = int(g.Remaining), int(g.Limit), fl.forwarder.options.Conditions.Nodes()
@@ -320,6 +323,14 @@
 	return r.failure.Outcome != outcome.NotRun && time.Since(r.pick.begin) >= time.Duration(callShare*float64(r.pick.serviceTime))
 }
 
+// retryKind returns the kind of a retry after the attempt failed.
+func (r *result) retryKind() retrybudget.Kind {
+	if r.mayHaveCalled() {
+		return retrybudget.RepeatRun
+	}
+	return retrybudget.Repeat
+}
+
 // returnUnused gives the charges back that no attempt has used.
 func (fl *flight) returnUnused() {
 	for _, retry := range fl.unused {
