--- a/core/account/account.go
+++ b/core/account/account.go
@@ -4,8 +4,11 @@
 package account
 
 import (
+	"net/http"
 	"slices"
 	"time"
+
+	"agatepulley.example/agatepulley/core/outcome"
 )
 
 // Cause says why a request was not answered in time.
@@ -49,11 +52,13 @@
 	Unfinished,
 }
 
-// Steps of the logged decisions that an account uses.
+// Steps and outcomes of the logged decisions that an account uses.
 const (
 	stepChoose  = "choose"
 	stepRetry   = "retry"
 	stepRespond = "respond"
+	// retryDenied is the outcome of a retry that the retry budget did not allow.
+	retryDenied = "no-retry"
 )
 
 // doubtfulFrom is the probability of failing from which a choice counts as one of an endpoint that is known to fail. Cause
@@ -143,7 +148,7 @@
 	case e.Step == stepChoose && e.Subject != "":
 		r.choices = append(r.choices, choice{subject: e.Subject, peer: e.Peer, inputs: e.Inputs})
 	case e.Step == stepRetry:
-		r.denied = r.denied || e.Outcome == "no-retry"
+		r.denied = r.denied || e.Outcome == retryDenied
 	case e.Inputs.Status != 0:
 		delete(a.open, e.RequestID)
 		a.done = append(a.done, Loss{
@@ -165,7 +170,7 @@
 
 // cause returns the cause of a request that ended with the given decision.
 func (r *request) cause(end Event) Cause {
-	if end.Step == stepRespond && end.Inputs.Status < 500 {
+	if end.Step == stepRespond && end.Inputs.Status < http.StatusInternalServerError {
 		if end.Inputs.Target > 0 && end.Inputs.Milliseconds > end.Inputs.Target {
 			return Late
 		}
@@ -175,21 +180,22 @@
 	if end.Step == stepRespond {
 		return last.failure(EndpointError)
 	}
-	switch end.Reason {
-	case "caller-cancelled":
+	switch outcome.Reason(end.Reason) {
+	case outcome.ReasonCancelled:
 		return CallerLeft
-	case "no-route", "bad-request", "header-too-large", "body-too-large", "body-timeout", "body-cut":
+	case outcome.ReasonNoRoute, outcome.ReasonBadRequest, outcome.ReasonHeaderTooLarge, outcome.ReasonBodyTooLarge,
+		outcome.ReasonBodyTimeout, outcome.ReasonBodyCut:
 		return Invalid
-	case "not-ready", "leaving", "no-endpoint":
+	case outcome.ReasonNotReady, outcome.ReasonLeaving, outcome.ReasonNoEndpoint:
 		return Unavailable
-	case "endpoint-rejected", "endpoint-replaced":
+	case outcome.ReasonEndpointRejected, outcome.ReasonEndpointReplaced:
 		return Rejected
-	case "connect-failed", "connection-silent":
+	case outcome.ReasonConnect, outcome.ReasonConnectionSilent:
 		return Path
-	case "busy", "queue-full", "endpoint-suspect", "voided":
+	case outcome.ReasonBusy, outcome.ReasonQueueFull, outcome.ReasonEndpointSuspect, outcome.ReasonVoided:
 		return r.refusal()
-	case "deadline":
-		if end.Outcome == "not-run" {
+	case outcome.ReasonDeadline:
+		if outcome.Outcome(end.Outcome) == outcome.NotRun {
 			return r.refusal()
 		}
 		return last.failure(Deadline)
