--- a/core/account/account.go
+++ b/core/account/account.go
@@ -4,7 +4,6 @@
 package account
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -61,6 +60,9 @@
 	retryDenied = "no-retry"
 )
 
+// serverErrorFrom is the lowest HTTP status code of a server error.
+const serverErrorFrom = 500
+
 // doubtfulFrom is the probability of failing from which a choice counts as one of an endpoint that is known to fail. Cause
 // Path has the same bound for the path.
 const doubtfulFrom = 0.3
@@ -170,7 +172,7 @@
 
 // cause returns the cause of a request that ended with the given decision.
 func (r *request) cause(end Event) Cause {
-	if end.Step == stepRespond && end.Inputs.Status < http.StatusInternalServerError {
+	if end.Step == stepRespond && end.Inputs.Status < serverErrorFrom {
 		if end.Inputs.Target > 0 && end.Inputs.Milliseconds > end.Inputs.Target {
 			return Late
 		}
