Decide on calls in a fixed order

Cause: the ledger went through a map, so that its random numbers were drawn in another order at each run, and the same seed of a property test did not repeat itself. Change: called services are looked at by name. No decision depends on the order otherwise.

--- a/core/retrybudget/ledger.go
+++ b/core/retrybudget/ledger.go
@@ -1,8 +1,10 @@
 package retrybudget
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -60,7 +62,13 @@
 	Remaining, Limit float64
 	// service is the one that the retry is charged to, and calls holds what is charged to others for calls of the run.
 	service string
-	calls   map[string]float64
+	calls   []calls
+}
+
+// calls is a number of calls to a service, a fraction for an expected number.
+type calls struct {
+	service string
+	number  float64
 }
 
 // Ledger counts the requests and retries of one node for all services and decides on its retries. A request that runs a
@@ -115,18 +123,17 @@
 }
 
 func (l *Ledger) addCalls(now time.Duration, g Grant, sign float64) {
-	for name, calls := range g.calls {
-		l.budget(name).AddRetries(now, sign*calls)
+	for _, c := range g.calls {
+		l.budget(c.service).AddRetries(now, sign*c.number)
 	}
 }
 
 // HasSpare reports whether the given share of the limit would remain after a retry, for the service and for those that a
 // repeated run may call.
 func (l *Ledger) HasSpare(now time.Duration, service string, share float64, f Fleet) bool {
-	needed := l.callsPerRun(now, service, Repeat, f)
-	needed[service] = 1
-	for name, n := range needed {
-		if g := l.Remaining(now, name, f); g.Remaining-n < share*g.Limit {
+	needed := append(l.callsPerRun(now, service, Repeat, f), calls{service, 1})
+	for _, c := range needed {
+		if g := l.Remaining(now, c.service, f); g.Remaining-c.number < share*g.Limit {
 			return false
 		}
 	}
@@ -134,9 +141,9 @@
 }
 
 // callsAllowed reports whether the budgets of the called services have room for the calls of a run.
-func (l *Ledger) callsAllowed(now time.Duration, calls map[string]float64, f Fleet) bool {
-	for name, n := range calls {
-		if !l.budget(name).AllowsRetries(now, n, l.Remaining(now, name, f).Remaining, f.Nodes) {
+func (l *Ledger) callsAllowed(now time.Duration, needed []calls, f Fleet) bool {
+	for _, c := range needed {
+		if !l.budget(c.service).AllowsRetries(now, c.number, l.Remaining(now, c.service, f).Remaining, f.Nodes) {
 			return false
 		}
 	}
@@ -145,25 +152,26 @@
 
 // callsPerRun returns the calls to other services that a run of a repeatable request of the service may make: the mean over all
 // runs, rounded up for a request that has called before.
-func (l *Ledger) callsPerRun(now time.Duration, service string, kind Kind, f Fleet) map[string]float64 {
+func (l *Ledger) callsPerRun(now time.Duration, service string, kind Kind, f Fleet) []calls {
 	for _, name := range f.Services {
 		l.budget(name)
 	}
 	runs := l.fleetUsage(now, service, f).Runs
-	calls := make(map[string]float64, len(l.budgets))
-	for name := range l.budgets {
-		if name == service {
-			continue
+	var needed []calls
+	for _, name := range slices.Sorted(maps.Keys(l.budgets)) {
+		number := 0.0
+		if name != service {
+			number = estimateCalls(service, runs, f.Origins(name))
 		}
-		n := estimateCalls(service, runs, f.Origins(name))
-		if n < fewCalls {
+		if number < fewCalls {
 			continue
 		}
-		if calls[name] = n; kind == RepeatRun {
-			calls[name] = math.Ceil(n - fewCalls)
+		if kind == RepeatRun {
+			number = math.Ceil(number - fewCalls)
 		}
+		needed = append(needed, calls{name, number})
 	}
-	return calls
+	return needed
 }
 
 // Remaining returns how many retries of a service the fleet may still make, without granting one.
@@ -229,6 +237,6 @@
 		}
 	}
 	hosts := origins[caller]
-	calls := max(0, hosts.perHost()-others.perHost()) * float64(hosts.Hosts)
-	return (calls + assumedCalls*assumedRuns) / (runs + assumedRuns)
+	excess := max(0, hosts.perHost()-others.perHost()) * float64(hosts.Hosts)
+	return (excess + assumedCalls*assumedRuns) / (runs + assumedRuns)
 }
--- a/core/retrybudget/ledger_test.go
+++ b/core/retrybudget/ledger_test.go
@@ -16,7 +16,7 @@
 const (
 	desk  = "desk"  // called by callers; its runs call stock
 	stock = "stock" // called by runs of desk only
-	// runTime is the time from a retry to the end of its run, when its calls are counted.
+	// runTime is the time from a retry to the moment at which its run fails or calls.
 	runTime = 4 * step
 )
 
