Keep the loads that broke the limit as cases of their own

Change: the two loads are cases that always run; each fails under its mutation and holds on the code. The property test keeps its check, ranges and seed, and shares the check with them.

--- a/core/retrybudget/ledger_test.go
+++ b/core/retrybudget/ledger_test.go
@@ -196,19 +196,38 @@
 		f := newCallingFleet(rapid.IntRange(2, 30).Draw(t, "nodes"), rapid.Uint64().Draw(t, "seed"))
 		f.play(600, rapid.Float64Range(0.1, 0.5).Draw(t, "requests per step and node"), rapid.Float64Range(0, 0.9).Draw(t, "desk fails"),
 			rapid.Float64Range(0.1, 1.5).Draw(t, "calls"), rapid.Float64Range(0, 0.9).Draw(t, "stock fails"))
-		window := int(settings.Window / step)
-		for end := window; end <= len(f.repeats); end++ {
-			asked := sum(f.requests[end-window : end])
-			for _, back := range []int{window / 2, window} {
-				if end-window-back >= 0 {
-					asked = max(asked, sum(f.requests[end-window-back:end-back]))
-				}
-			}
-			if made := sum(f.repeats[end-window : end]); made > settings.Ratio*asked+settings.Constant {
-				t.Fatalf("%.0f arrivals beyond the first of %.0f requests until step %d", made, asked, end)
+		f.checkLimit(t.Fatalf)
+	})
+}
+
+// Guards against changes under which loads break the limit that have broken it before: without room for the calls of a retry at
+// the called service, and with a mean number of calls for a request whose run failed.
+func TestLoadsThatBrokeTheLimit(t *testing.T) {
+	for _, load := range []struct {
+		nodes                    int
+		deskFails, calls, failed float64
+	}{{3, 0.0625, 0.375, 0.9}, {6, 0.125, 0.5, 0.9}} {
+		f := newCallingFleet(load.nodes, 0)
+		f.play(600, 0.5, load.deskFails, load.calls, load.failed)
+		f.checkLimit(t.Errorf)
+	}
+}
+
+// checkLimit reports each window in which stock got more arrivals beyond the first than the limit allows. The limit of a window
+// may follow from the requests of a window that ended up to one window length earlier.
+func (f *callingFleet) checkLimit(report func(format string, args ...any)) {
+	window := int(settings.Window / step)
+	for end := window; end <= len(f.repeats); end++ {
+		asked := sum(f.requests[end-window : end])
+		for _, back := range []int{window / 2, window} {
+			if end-window-back >= 0 {
+				asked = max(asked, sum(f.requests[end-window-back:end-back]))
 			}
 		}
-	})
+		if made := sum(f.repeats[end-window : end]); made > settings.Ratio*asked+settings.Constant {
+			report("%.0f arrivals beyond the first of %.0f requests until step %d", made, asked, end)
+		}
+	}
 }
 
 // Guards against calls that get no retry although few of them fail: repeated attempts of the calling service that are reset
