Reproduce requests that crash one endpoint after the other

Users saw a request under which three endpoints had ended sent to endpoints again and again (BUDGET, FLOOR). The bench lists no such disruption, so the soak now brings it: an endpoint of platformtest can crash when it begins to run a request, and callers send such requests every 0.375 s at random nodes.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -60,7 +60,9 @@
 	incarnation            int
 	repeatable, gaveUp     bool
 	// marker is the version whose route the request uses, or 0.
-	marker   int
+	marker int
+	// crashing is set if the request crashes each endpoint that runs it.
+	crashing bool
 	at, done time.Time
 	// begun is set once the request has been written, so that a broken connection may have cut it.
 	begun     bool
@@ -131,6 +133,46 @@
 	return r
 }
 
+const (
+	// crashingPeriod is the interval at which each crashing request is sent.
+	crashingPeriod = 375 * time.Millisecond
+	// crashingMark is in the paths of crashing requests.
+	crashingMark = "crashing-"
+)
+
+// driveCrashing sends the same crashing requests at random nodes of one service until the context ends. Each may be repeated or
+// may run once, in turn.
+func (c *callers) driveCrashing(ctx context.Context, count int) {
+	client := &http.Client{Timeout: 2 * deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	rng := rand.New(rand.NewPCG(uint64(count), 4))
+	ticker := time.NewTicker(crashingPeriod)
+	defer ticker.Stop()
+	var tasks sync.WaitGroup
+	for ctx.Err() == nil {
+		for n := range count {
+			r := c.crashingRequest(n, rng)
+			tasks.Go(func() { c.send(client, r, true) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	tasks.Wait()
+}
+
+func (c *callers) crashingRequest(n int, rng *rand.Rand) *sent {
+	hosts := c.fleet.hostsOf(serviceDesk)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := kinds[n%2]
+	r := c.request(hosts[rng.IntN(len(hosts))], k.method, k.prefix)
+	r.repeatable, r.crashing = k.repeatable, true
+	r.path = k.prefix + crashingMark + strconv.Itoa(n)
+	r.body = strings.Repeat("c", k.body)
+	return r
+}
+
 // probe asks a node for the route that only one version has.
 func (c *callers) probe(h *host, version int) *sent {
 	c.mu.Lock()
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -55,6 +55,7 @@
 			found = append(found, fmt.Sprintf("UNASKED: %s ran on %s and was never sent", id, runs[0].endpoint.ID))
 		}
 	}
+	found = append(found, r.crashesPastProof()...)
 	slices.Sort(found)
 	return append(append(found, r.regressions()...), r.failedStops()...)
 }
@@ -150,6 +151,60 @@
 	}
 }
 
+const (
+	// provenAfter is the number of endpoints that a request may crash before it counts as the cause. Later than inTouch after
+	// that, it may reach at most lateRunsAllowed further endpoints.
+	provenAfter     = 3
+	lateRunsAllowed = 3
+)
+
+// crashesBy returns the runs of a crashing request, each of which ended an endpoint.
+func (r *record) crashesBy(s *sent) []run {
+	if !s.crashing {
+		return nil
+	}
+	return r.runs[s.id]
+}
+
+// crashesPastProof looks for requests that reach endpoints although they have crashed enough of them before.
+func (r *record) crashesPastProof() []string {
+	type arrival struct {
+		run
+		host int
+	}
+	arrivals := make(map[string][]arrival)
+	for _, s := range r.requests {
+		for _, one := range r.crashesBy(s) {
+			arrivals[s.path] = append(arrivals[s.path], arrival{one, s.host})
+		}
+	}
+	var found []string
+	for path, list := range arrivals {
+		if len(list) <= provenAfter {
+			continue
+		}
+		slices.SortFunc(list, func(a, b arrival) int { return a.At.Compare(b.At) })
+		late := 0
+		for _, a := range list[provenAfter:] {
+			if a.At.Sub(list[provenAfter-1].At) > inTouch && r.hostsCalm(a.At, a.host, everyone) {
+				late++
+			}
+		}
+		if late > lateRunsAllowed {
+			found = append(found, fmt.Sprintf("BUDGET: %s crashed %d endpoints, %d of them later than %v after the third", path, len(list), late, inTouch))
+		}
+	}
+	return found
+}
+
+// hostsCalm reports whether no fault was in force at the hosts at a moment or shortly before, apart from crashes of their
+// endpoints by requests.
+func (r *record) hostsCalm(at time.Time, hosts ...int) bool {
+	return !slices.ContainsFunc(r.disturbances, func(d *disturbance) bool {
+		return d.what != crashedByRequest && slices.Contains(hosts, d.host) && !d.from.After(at) && !d.to.Before(at.Add(-inTouch))
+	})
+}
+
 // checkConfiguration looks for nodes that do not know the version in force.
 func (r *record) checkConfiguration(s *sent, add report) {
 	published, ok := r.published[s.marker]
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -77,6 +77,8 @@
 	badStops []badStop
 	errs     []error
 	tasks    sync.WaitGroup
+	// restarting counts the endpoints that a request has crashed and that are not back.
+	restarting int
 }
 
 func newFaults(f *fleet, seed uint64, say func(string, ...any)) *faults {
@@ -324,6 +326,55 @@
 	x.fail(x.fleet.startEndpoint(h))
 }
 
+// crashedByRequest describes the disturbance of an endpoint, not of its host, by a crashing request.
+const crashedByRequest = "request crashes endpoint"
+
+const (
+	// A crashed endpoint's entry lapses after entryLapse, and the endpoint is back after crashedFor.
+	entryLapse = time.Second
+	crashedFor = 2 * time.Second
+	claimPoll  = 20 * time.Millisecond
+)
+
+// restartCrashed starts the endpoint of a host again after a request has crashed it.
+func (x *faults) restartCrashed(h *host, crashed *platformtest.Endpoint) {
+	x.mu.Lock()
+	x.restarting++
+	x.mu.Unlock()
+	end := x.begin(h.number, false, crashedByRequest)
+	defer func() {
+		end()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.restarting--
+	}()
+	time.Sleep(entryLapse)
+	crashed.Deregister()
+	time.Sleep(crashedFor - entryLapse)
+	part := fmt.Sprintf("endpoint-%d", h.number)
+	for !x.claim(part) {
+		time.Sleep(claimPoll)
+	}
+	defer x.release(part)
+	// Another fault may have replaced the endpoint meanwhile.
+	if h.endpoint == crashed {
+		x.fail(x.fleet.startEndpoint(h))
+	}
+}
+
+// awaitRestarts waits until all crashed endpoints are back.
+func (x *faults) awaitRestarts() {
+	for {
+		x.mu.Lock()
+		restarting := x.restarting
+		x.mu.Unlock()
+		if restarting == 0 {
+			return
+		}
+		time.Sleep(claimPoll)
+	}
+}
+
 // crash ends an endpoint without a word. Its entry lapses later.
 func (x *faults) crash(h *host, hold time.Duration, _ int) {
 	defer x.begin(h.number, false, "endpoint crashes")()
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,8 @@
 	basePort int
 	network  int
 	hosts    []*host
+	// endpointCrashed is called when a request has crashed an endpoint.
+	endpointCrashed func(h *host, crashed *platformtest.Endpoint)
 
 	mu        sync.Mutex
 	retired   []*platformtest.Endpoint
@@ -173,6 +176,19 @@
 	return f.writeSettings(h)
 }
 
+// hostsOf returns the hosts whose endpoints belong to a service.
+func (f *fleet) hostsOf(service string) []*host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []*host
+	for _, h := range f.hosts {
+		if h.service() == service {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // settingsLag is how long a node may use the settings of before.
 const settingsLag = 2 * time.Second
 
@@ -202,6 +218,7 @@
 		return err
 	}
 	e.Address, e.ProcessingTime = f.address(h.number, portApp), workTime
+	e.CrashOn(func(r *http.Request) bool { return strings.Contains(r.URL.Path, crashingMark) }, func() { f.endpointCrashed(h, e) })
 	e.Register()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -18,6 +18,10 @@
 	// Hosts is the number of nodes, 3 to MaxHosts.
 	Hosts    int
 	Duration time.Duration
+	// CrashingRequests is the number of requests that crash each endpoint that runs them. They are sent again and again.
+	CrashingRequests int
+	// NoOtherFaults leaves out all other faults.
+	NoOtherFaults bool
 }
 
 // Limits of a plan.
@@ -28,19 +32,21 @@
 
 // Outcome is what a run showed.
 type Outcome struct {
-	Plan       Plan
-	Requests   int
-	Served     int
-	Refused    int
-	Versions   int
-	Faults     int
+	Plan     Plan
+	Requests int
+	Served   int
+	Refused  int
+	Versions int
+	Faults   int
+	// Crashes is the number of endpoints that crashing requests have ended.
+	Crashes    int
 	Violations []string
 }
 
 // String describes the outcome in a line, and each violation in another.
 func (o *Outcome) String() string {
-	text := fmt.Sprintf("seed %d, %d hosts, %v: %d requests, %d served, %d refused, %d faults, %d versions, %d violations",
-		o.Plan.Seed, o.Plan.Hosts, o.Plan.Duration, o.Requests, o.Served, o.Refused, o.Faults, o.Versions, len(o.Violations))
+	text := fmt.Sprintf("seed %d, %d hosts, %v: %d requests, %d served, %d refused, %d faults, %d versions, %d crashes by requests, %d violations",
+		o.Plan.Seed, o.Plan.Hosts, o.Plan.Duration, o.Requests, o.Served, o.Refused, o.Faults, o.Versions, o.Crashes, len(o.Violations))
 	for _, v := range o.Violations {
 		text += "\n  " + v
 	}
@@ -78,6 +84,7 @@
 	}
 	x := newFaults(f, plan.Seed, say)
 	x.publish()
+	f.endpointCrashed = x.restartCrashed
 	if err := f.start(ctx); err != nil {
 		return nil, err
 	}
@@ -90,11 +97,19 @@
 	time.Sleep(calmBefore)
 	striking, stopStriking := context.WithTimeout(ctx, plan.Duration)
 	defer stopStriking()
-	x.play(striking)
+	if plan.CrashingRequests > 0 {
+		tasks.Go(func() { c.driveCrashing(striking, plan.CrashingRequests) })
+	}
+	if plan.NoOtherFaults {
+		<-striking.Done()
+	} else {
+		x.play(striking)
+	}
 	say("all faults have ended")
 	unserved := awaitRecovery(ctx, f, c)
 	stopDriving()
 	tasks.Wait()
+	x.awaitRestarts()
 	return judge(plan, f, c, x, unserved), errors.Join(x.errs...)
 }
 
@@ -173,6 +188,7 @@
 	}
 	outcome := &Outcome{Plan: plan, Requests: len(c.all), Versions: x.version, Faults: len(x.disturbances)}
 	for _, s := range c.all {
+		outcome.Crashes += len(r.crashesBy(s))
 		switch {
 		case s.err == nil && s.status == http.StatusOK:
 			outcome.Served++
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -67,3 +67,19 @@
 		})
 	}
 }
+
+// Guards against requests that take down one endpoint after the other while they are sent again and again.
+func TestCrashingRequestIsContained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+	defer cancel()
+	plan := soak.Plan{Seed: 1, Hosts: 8, Duration: 12 * time.Second, CrashingRequests: 2, NoOtherFaults: true}
+	var faults strings.Builder
+	outcome, err := soak.Play(ctx, plan, binaries, t.TempDir(), &faults)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), faults.String())
+	t.Log(outcome)
+	g.Expect(outcome.Violations).To(gomega.BeEmpty(), faults.String())
+	g.Expect(outcome.Crashes).To(gomega.BeNumerically(">", 0))
+	// Each of the two may crash three endpoints until it is known.
+	g.Expect(outcome.Crashes).To(gomega.BeNumerically("<=", 6))
+}
