--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,6 +1,9 @@
 // Package quarantine contains requests that crash backend servers. Each request in flight at a crash becomes a suspect
-// by its fingerprint: it runs only at one endpoint, alone there, until it succeeds, which clears it, or crashes that
-// backend server as well, which proves it guilty, so it is refused.
+// by its fingerprint: it runs alone, until it succeeds, which clears it, or crashes that backend server as well, which proves
+// it guilty, so it is refused.
+//
+// How a suspect runs alone is left to the caller: at one endpoint of the service without any other request, or at any
+// endpoint without another suspect. Requests that are not suspects do not make the proof ambiguous.
 //
 // Crashes that other requests shared never lead to a refusal, however many there are: a popular request is in flight at
 // every backend server that a culprit takes down. A fingerprint is refused only if it crashed a backend server while it
@@ -42,6 +45,8 @@
 	Alone bool `json:"alone,omitempty"`
 	// Cleared is true if the request succeeded after the crash was known.
 	Cleared bool `json:"cleared,omitempty"`
+	// AgeMS is the time since the crash in milliseconds, so that a crash does not count longer for nodes that hear of it late.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // Record is what nodes tell each other about a fingerprint.
@@ -118,7 +123,7 @@
 // Suspect records that a request was in flight when a backend server crashed. It returns the record to publish.
 func (s *Store) Suspect(fingerprint, service string, c Crash, now time.Duration) Record {
 	s.Merge(Record{Fingerprint: fingerprint, Service: service, Crashes: []Crash{c}}, now)
-	return s.record(fingerprint)
+	return s.record(fingerprint, now)
 }
 
 // Success clears a fingerprint of all crashes known so far. It returns the record to publish, and false if there was
@@ -131,7 +136,35 @@
 	for _, c := range found.crashes {
 		c.cleared = true
 	}
-	return s.record(fingerprint), true
+	return s.record(fingerprint, now), true
+}
+
+// Active returns the records of all fingerprints with at least the given number of crashes that count, in the order of the
+// fingerprints.
+func (s *Store) Active(crashes int, now time.Duration) []Record {
+	var records []Record
+	for fingerprint, found := range s.suspects {
+		if s.active(found, now).crashes >= crashes {
+			records = append(records, s.record(fingerprint, now))
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return records
+}
+
+// Missing returns the record of a fingerprint if it clears a crash that the given record, received from another node, still
+// counts.
+func (s *Store) Missing(received Record, now time.Duration) (Record, bool) {
+	found := s.suspects[received.Fingerprint]
+	if found == nil {
+		return Record{}, false
+	}
+	for _, c := range received.Crashes {
+		if known := found.crashes[c.CrashID]; known != nil && known.cleared && !c.Cleared {
+			return s.record(received.Fingerprint, now), true
+		}
+	}
+	return Record{}, false
 }
 
 // Merge takes a record of another node. It returns true if it held anything new.
@@ -144,14 +177,18 @@
 }
 
 func (s *Store) merge(record Record, c Crash, now time.Duration) bool {
+	seen := now - time.Duration(max(c.AgeMS, 0))*time.Millisecond
+	if now >= seen+graveyardPeriods*s.options.Period {
+		return false
+	}
 	found := s.suspect(record.Fingerprint, record.Service, now)
 	known, ok := found.crashes[c.CrashID]
 	if !ok {
 		if len(found.crashes) >= crashLimit {
 			return false
 		}
-		found.crashes[c.CrashID] = &crash{alone: c.Alone, cleared: c.Cleared, seen: now}
-		found.latest = now
+		found.crashes[c.CrashID] = &crash{alone: c.Alone, cleared: c.Cleared, seen: seen}
+		found.latest = max(found.latest, seen)
 		return true
 	}
 	changed := c.Alone && !known.alone || c.Cleared && !known.cleared
@@ -225,11 +262,13 @@
 	return result
 }
 
-func (s *Store) record(fingerprint string) Record {
+func (s *Store) record(fingerprint string, now time.Duration) Record {
 	found := s.suspects[fingerprint]
 	record := Record{Fingerprint: fingerprint, Service: found.service}
 	for id, c := range found.crashes {
-		record.Crashes = append(record.Crashes, Crash{CrashID: id, Alone: c.alone, Cleared: c.cleared})
+		record.Crashes = append(record.Crashes, Crash{
+			CrashID: id, Alone: c.alone, Cleared: c.cleared, AgeMS: (now - c.seen).Milliseconds(),
+		})
 	}
 	slices.SortFunc(record.Crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Incarnation, b.Incarnation))
@@ -245,7 +284,7 @@
 	if len(s.suspects) >= s.options.Capacity {
 		s.evict(now)
 	}
-	found = &suspect{service: service, crashes: make(map[CrashID]*crash), latest: now}
+	found = &suspect{service: service, crashes: make(map[CrashID]*crash)}
 	s.suspects[fingerprint] = found
 	return found
 }
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -141,10 +142,13 @@
 		return nil, relay.BodyFailure(stepBody, err)
 	}
 	head := relay.RequestHead(&c.Request)
+	identity := quarantine.Identity{
+		Service: service.Name, Method: string(head.Header.Method()), URI: string(head.Header.RequestURI()), Body: body.Prefix,
+	}
 	return &request{
 		id:          id,
 		key:         key,
-		fingerprint: fingerprint(head, body.Prefix),
+		fingerprint: identity.Fingerprint(),
 		route:       route,
 		service:     service,
 		head:        head,
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -25,17 +23,3 @@
 	long        bool
 }
 
-// fingerprintBytes is the length of a fingerprint before hex encoding.
-const fingerprintBytes = 12
-
-// fingerprint returns a hash of the method, the URI and the beginning of the body. Requests with the same fingerprint are
-// assumed to have the same effect on a backend server, such as a crash.
-func fingerprint(head *protocol.Request, bodyPrefix []byte) string {
-	h := sha256.New()
-	h.Write(head.Header.Method())
-	h.Write([]byte{' '})
-	h.Write(head.Header.RequestURI())
-	h.Write([]byte{'\n'})
-	h.Write(bodyPrefix)
-	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
-}
