Tell a crash of an endpoint from a lost connection, and what was in flight

The logs could not tell the hypotheses of the incident apart: a request that was in flight when its endpoint crashed ended with connection-lost, like one whose connection was reset. Now the dispatcher determines the cause: the endpoint is listed and does not leave, no idle connection is open, and a new one is refused, or dropped at once while no other request keeps its connection. Such requests get the reason backend-crashed, and a decision line of the step quarantine for each fingerprint. Crashes are told to linked nodes in datagrams beside the reports (pkg/suspects); older nodes discard them.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -139,12 +139,29 @@
 	return s.record(fingerprint, now), true
 }
 
-// Active returns the records of all fingerprints with at least the given number of crashes that count, in the order of the
-// fingerprints.
+// Crashes returns the number of crashes of a fingerprint that are neither cleared nor expired.
+func (s *Store) Crashes(fingerprint string, now time.Duration) int {
+	found := s.suspects[fingerprint]
+	if found == nil {
+		return 0
+	}
+	return s.active(found, now).crashes
+}
+
+// Record returns the record of a fingerprint, with its cleared and expired crashes.
+func (s *Store) Record(fingerprint string, now time.Duration) Record {
+	if s.suspects[fingerprint] == nil {
+		return Record{Fingerprint: fingerprint}
+	}
+	return s.record(fingerprint, now)
+}
+
+// Active returns the records of all fingerprints with at least the given number of crashes that are neither cleared nor
+// expired, in the order of the fingerprints.
 func (s *Store) Active(crashes int, now time.Duration) []Record {
 	var records []Record
-	for fingerprint, found := range s.suspects {
-		if s.active(found, now).crashes >= crashes {
+	for fingerprint := range s.suspects {
+		if s.Crashes(fingerprint, now) >= crashes {
 			records = append(records, s.record(fingerprint, now))
 		}
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/clock"
@@ -19,6 +20,7 @@
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/suspects"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -43,6 +45,17 @@
 	PeerMedian func(service, except string) (reports.Endpoint, bool)
 	// ConditionChanged is called when an endpoint's condition should be reported to the other nodes at once.
 	ConditionChanged func()
+	Suspects         Suspects
+}
+
+// Suspects knows the requests that may crash endpoints. *suspects.Service implements it.
+type Suspects interface {
+	// Decide returns how a request may run.
+	Decide(fingerprint string) quarantine.Action
+	// Crashed records the requests that were in flight when an endpoint crashed.
+	Crashed(crash quarantine.CrashID, inFlight []suspects.InFlight)
+	// Succeeded records that a request has succeeded.
+	Succeeded(fingerprint string)
 }
 
 // Request is one attempt to run a request.
@@ -228,6 +241,12 @@
 	if d.options.View().Leaving(r.Endpoint) {
 		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
+	switch d.options.Suspects.Decide(r.Fingerprint) {
+	case quarantine.Refuse:
+		return nil, refuse(r, stepAdmit, outcome.ReasonQuarantined, nil)
+	case quarantine.RunAlone:
+		r.Suspect = true
+	}
 	return d.endpoint(r.Endpoint).run(ctx, r)
 }
 
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -61,6 +61,10 @@
 	// limit is the age from which the request counts as stalled; stalled is set once that was observed.
 	limit   time.Duration
 	stalled bool
+	request *Request
+	// sent is set once the request has been written to the endpoint, lost once its connection has ended without a response,
+	// and crashed once it counts as in flight at a crash of the endpoint.
+	sent, lost, crashed bool
 }
 
 // endpoint is the state of one endpoint on this host.
@@ -86,6 +90,11 @@
 	// lastOutcome is the time of the latest outcome, valid if hasOutcome is set.
 	lastOutcome time.Duration
 	hasOutcome  bool
+	// determining is held while the cause of a lost connection is determined.
+	determining sync.Mutex
+	// latestCrash identifies the latest crash, which was determined at crashedAt.
+	latestCrash uint64
+	crashedAt   time.Duration
 	// atCrossing is the failure probability when it last crossed degradedFrom, or 0 if it has not.
 	atCrossing float64
 }
@@ -224,6 +233,9 @@
 func (e *endpoint) offer(ctx context.Context, r *Request) (chan error, *outcome.Error) {
 	now := e.dispatcher.now()
 	deadline, _ := ctx.Deadline()
+	if r.Suspect && r.MaxWait > 0 && e.runsSuspect() {
+		return nil, refuse(r, stepAdmit, outcome.ReasonBusy, errOtherSuspect)
+	}
 	item := admission.Item{ID: r.Attempt, Long: r.Long, Priority: r.Priority, Deadline: now + time.Until(deadline), MaxWait: r.MaxWait}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -314,7 +326,7 @@
 	defer e.mu.Unlock()
 	usual := e.usualTime(r.Route)
 	e.running[r.Attempt] = &running{
-		begin: e.dispatcher.now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall),
+		begin: e.dispatcher.now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
 	}
 }
 
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -11,6 +11,7 @@
 
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
@@ -34,7 +35,8 @@
 	return e.classifyResponse(r, response, begin, took)
 }
 
-// recheck refuses a request whose deadline has passed or whose endpoint began to leave while it was queued. It compares the
+// recheck refuses a request whose deadline has passed, whose endpoint began to leave or which was quarantined while it was
+// queued. It compares the
 // deadline with the time because after a pause of the process the context's timer may not have fired yet.
 func (e *endpoint) recheck(ctx context.Context, r *Request) *outcome.Error {
 	deadline, ok := ctx.Deadline()
@@ -44,6 +46,9 @@
 	if e.dispatcher.options.View().Leaving(e.id) {
 		return refuse(r, stepDispatch, outcome.ReasonLeaving, nil)
 	}
+	if e.dispatcher.options.Suspects.Decide(r.Fingerprint) == quarantine.Refuse {
+		return refuse(r, stepDispatch, outcome.ReasonQuarantined, nil)
+	}
 	return nil
 }
 
@@ -69,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.markSent(r)
 	return pending.Await()
 }
 
@@ -111,7 +117,9 @@
 		served = noServiceTime
 	case response.Complete():
 		e.observe(r, faultfilter.Success, served)
+		e.dispatcher.options.Suspects.Succeeded(r.Fingerprint)
 	case response.Broken():
+		e.crashed(r)
 		e.observe(r, faultfilter.Failure, 0)
 		served = noServiceTime
 	default:
@@ -151,6 +159,9 @@
 		return outcome.MayHaveRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepDispatch, e.id, err)
 	case ctx.Err() != nil:
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonCancelled, stepDispatch, e.id, err)
+	case e.crashed(r):
+		e.observe(r, faultfilter.Failure, 0)
+		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonBackendCrash, stepDispatch, e.id, err)
 	default:
 		e.observe(r, faultfilter.Failure, 0)
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -24,10 +24,12 @@
 	Service  string
 	Endpoint string
 	Route    string
-	// Key is the idempotency key, or empty if there is none. Package forward sets neither Key nor Fingerprint.
+	// Key is the idempotency key, or empty if there is none. Package forward does not set it.
 	Key string
-	// Fingerprint identifies requests with the same method, target and beginning of the body.
+	// Fingerprint identifies requests that have the same effect, see quarantine.Identity.
 	Fingerprint string
+	// Suspect requests may have crashed an endpoint in an earlier attempt.
+	Suspect bool
 	// Repeatable requests may be run more than once.
 	Repeatable bool
 	// Long requests are expected to occupy a slot for long; the owner leaves slots free for others.
@@ -46,6 +48,7 @@
 // Values of the class header, separated by commas.
 const (
 	flagRepeatable = "repeatable"
+	flagSuspect    = "suspect"
 	flagMaxWait    = "max-wait-ms="
 	classLong      = "long"
 	classShort     = "short"
@@ -60,6 +63,9 @@
 	if m.Repeatable {
 		class += "," + flagRepeatable
 	}
+	if m.Suspect {
+		class += "," + flagSuspect
+	}
 	if m.MaxWait > 0 {
 		class += "," + flagMaxWait + strconv.FormatInt(max(m.MaxWait.Milliseconds(), 1), 10)
 	}
@@ -107,6 +113,7 @@
 		Route:       h.Get(outcome.HeaderHopRoute),
 		Key:         h.Get(outcome.HeaderKey),
 		Fingerprint: h.Get(outcome.HeaderHopFingerprint),
+		Suspect:     slices.Contains(class, flagSuspect),
 		Repeatable:  slices.Contains(class, flagRepeatable),
 		MaxWait:     maxWait,
 		Long:        slices.Contains(class, classLong),
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -16,7 +16,7 @@
 	g := gomega.NewWithT(t)
 	sent := hop.Meta{
 		RequestID: "r1", Attempt: "a1", Service: "desk", Endpoint: "e1", Route: "book", Key: "k", Fingerprint: "f",
-		Repeatable: true, Long: true, MaxWait: 80 * time.Millisecond, Remaining: 1500 * time.Millisecond, Priority: 2,
+		Suspect: true, Repeatable: true, Long: true, MaxWait: 80 * time.Millisecond, Remaining: 1500 * time.Millisecond, Priority: 2,
 		CallerService: "scan",
 	}
 	var h protocol.RequestHeader
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -22,4 +22,3 @@
 	deadline    time.Time
 	long        bool
 }
-
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -28,6 +28,7 @@
 	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/suspects"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
 
@@ -37,6 +38,7 @@
 	serviceTelemetry  = "telemetry.metrics"
 	servicePeers      = "peer.network"
 	serviceReports    = "peer.reports"
+	serviceSuspects   = "suspects"
 	serviceDiscovery  = "discovery"
 	serviceDispatcher = "dispatcher"
 	serviceForwarder  = "forwarder"
@@ -76,6 +78,7 @@
 	decisions  *decision.Recorder
 	peers      *peer.Service
 	reports    *reports.Service
+	suspects   *suspects.Service
 	discovery  *discovery.Service
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
@@ -110,6 +113,10 @@
 	m.reports = reports.New(reports.Options{
 		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
 		Decisions: m.decisions, Fill: m.fillReport, Observe: m.observeReport,
+		Notice: func(ip string, notice []byte) { m.suspects.Receive(ip, notice) },
+	})
+	m.suspects = suspects.New(suspects.Options{
+		Clock: m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: tele.Metrics(), Network: m.reports,
 	})
 	m.discovery = discovery.New(discovery.Options{
 		Store: platform.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
@@ -119,6 +126,7 @@
 	m.dispatcher = dispatch.New(dispatch.Options{
 		Backend: s.BackendAddress, Headers: platform.Headers, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
 		View: m.discovery.View, PeerMedian: m.medianCondition, ConditionChanged: m.reports.Notify,
+		Suspects: m.suspects,
 	})
 	m.forwarder = m.newForwarder(s, platform)
 	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
@@ -159,6 +167,7 @@
 		{serviceAdmin, m.admin},
 		{servicePeers, m.peers},
 		{serviceReports, m.reports},
+		{serviceSuspects, m.suspects},
 		{serviceDispatcher, m.dispatcher},
 		{serviceForwarder, m.forwarder},
 		{serviceDiscovery, m.discovery},
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agatepulley.example/agatepulley/core/faultfilter"
@@ -51,6 +52,8 @@
 	Fill func(*Report)
 	// Observe is called with each report that is not outdated and the peer address (IP:port) of its sender.
 	Observe func(peerAddress string, r *Report)
+	// Notice is called with each notice and the IP address of its sender.
+	Notice func(ip string, notice []byte)
 }
 
 type host struct {
@@ -84,6 +87,8 @@
 	// wake makes the sender check which reports are due before the next tick.
 	wake    chan struct{}
 	started time.Duration
+	// noticeTurn counts the calls of SendNext.
+	noticeTurn atomic.Uint64
 
 	mu sync.Mutex
 	// hosts holds the other hosts by IP address, and endpoints the condition of endpoints by ID.
@@ -215,6 +220,10 @@
 		if err != nil {
 			return
 		}
+		if n > 0 && buffer[0] == noticeMark {
+			s.options.Notice(from.Addr().Unmap().String(), buffer[1:n])
+			continue
+		}
 		var r Report
 		if err := r.decode(buffer[:n]); err != nil {
 			s.options.Logger.Warn("unreadable report", "from", from.String(), "error", err)
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -160,6 +161,44 @@
 	return dial(ctx, p.address, p.options.ConnectTimeout)
 }
 
+// Reachability is what a probe of the peer has shown.
+type Reachability int
+
+// Results of a probe.
+const (
+	// Reachable means that a connection to the peer is open.
+	Reachable Reachability = iota
+	// Refused means that the peer refuses connections.
+	Refused
+	// Dropped means that the peer closed a new connection at once. It may be overloaded, or have crashed behind a proxy.
+	Dropped
+	// NoAnswer means that the peer did not answer in time.
+	NoAnswer
+)
+
+// Probe checks whether the peer accepts connections, without sending anything: an idle connection that is still open shows it,
+// otherwise a new one must stay open for the time settle. It is kept for the next request.
+func (p *Pool) Probe(ctx context.Context, settle time.Duration) Reachability {
+	c, err := p.acquire(ctx)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case err != nil:
+		return NoAnswer
+	}
+	if c.reused {
+		p.keep(c)
+		return Reachable
+	}
+	time.Sleep(settle)
+	if !c.usable() {
+		c.close()
+		return Dropped
+	}
+	p.release(c)
+	return Reachable
+}
+
 func (p *Pool) popIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,6 +214,11 @@
 
 func (p *Pool) release(c *conn) {
 	c.idleSince = time.Now()
+	p.keep(c)
+}
+
+// keep adds an idle connection.
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= p.options.MaxIdle {
