Contain requests that crash endpoints on the users' platform

Cause: only fleets with published hosts had a memory of such requests.

Change: the forwarder names the fingerprint (service, caller, method, path with query, first 64 KiB of the body) of each attempt. What was in flight at a crash is a suspect: not hedged, and sent where no other suspect runs, so that a second crash proves it. It is then refused at once, by forwarders and dispatchers, with 503 and without Retry-After; a request whose own attempts crashed endpoints ends with 502. A success clears, and what has succeeded within 30 s is not suspected.

--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -6,6 +6,7 @@
 
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/placement"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -52,6 +53,8 @@
 	// an endpoint or still may.
 	retry  *retrybudget.Grant
 	reason placement.Reason
+	// suspect is set if the request may have crashed an endpoint before.
+	suspect bool
 	// serviceTime is the time that the endpoint is expected to need for the request.
 	serviceTime time.Duration
 	// maxWait, if not zero, lets the dispatcher refuse the request as busy rather than let it wait longer.
@@ -79,7 +82,7 @@
 		return nil
 	}
 	p := &pick{
-		endpoint: usable[n], host: registry.HostIP(usable[n].Address), reason: reason,
+		endpoint: usable[n], host: registry.HostIP(usable[n].Address), reason: reason, suspect: fl.quarantine() != quarantine.RunNormally,
 		serviceTime: orDefault(candidates[n].ServiceTime, r.MedianServiceTime),
 	}
 	if fl.busyRefusals < maxBusyRefusals && !fl.busy[p.endpoint.ID] && !placement.Saturated(candidates) {
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -93,6 +94,8 @@
 	busyRefusals int
 	refusals     int
 	rejections   int
+	// crashes counts the endpoints that crashed while they ran the request.
+	crashes int
 	// unused holds the retries that were charged to the retry budget and are not used by an attempt.
 	unused []retrybudget.Grant
 	// answer is the latest answer with a 5xx status. failure is the first failure after which the request may have run, or
@@ -109,6 +112,9 @@
 	}
 	defer fl.returnUnused()
 	defer fl.cancelOpen()
+	if fl.quarantine() == quarantine.Refuse {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, stepChoose, "", fl.crashedBefore())
+	}
 	if !fl.launch(ctx) {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoEndpoint, stepChoose, "", nil)
 	}
@@ -197,6 +203,9 @@
 	if ctx.Err() != nil || fl.possibleRuns()+len(fl.open) >= fl.request.route.Attempts {
 		return
 	}
+	if fl.quarantine() != quarantine.RunNormally {
+		return
+	}
 	if !fl.forwarder.hasFreeSlot(fl) || !fl.forwarder.hasSpareRetries(fl.request.service) || !fl.takeRetry("no-hedge", retrybudget.Repeat) {
 		return
 	}
@@ -219,6 +228,9 @@
 	switch failure := got.failure; {
 	case failure.Outcome != outcome.NotRun:
 		fl.reached++
+		if failure.Reason == outcome.ReasonBackendCrash {
+			fl.crashes++
+		}
 	case failure.Arrived():
 		fl.reached++
 		fl.rejections++
@@ -243,6 +255,10 @@
 	if ctx.Err() != nil || time.Until(fl.request.deadline) < max(minRetryTime, fl.latest.serviceTime/2) {
 		return false
 	}
+	if fl.quarantine() == quarantine.Refuse {
+		fl.record("no-retry", string(outcome.ReasonQuarantined))
+		return false
+	}
 	if got.failure != nil && got.failure.Outcome == outcome.NotRun {
 		return fl.mayResend(got.failure)
 	}
@@ -259,7 +275,7 @@
 func (fl *flight) mayResend(failure *outcome.Error) bool {
 	// A body that is not completely in memory can be sent again only if no byte of the request was sent.
 	unsent := failure.Reason == outcome.ReasonConnect
-	if failure.Reason == outcome.ReasonCancelled || (!unsent && !fl.request.body.Buffered()) {
+	if failure.Reason == outcome.ReasonCancelled || failure.Reason == outcome.ReasonQuarantined || (!unsent && !fl.request.body.Buffered()) {
 		return false
 	}
 	if fl.rejections > maxRejections || fl.refusals >= maxRefusals {
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
@@ -70,6 +71,12 @@
 	Withdraw(ctx context.Context, target Target, attempt string) (attempts.State, error)
 }
 
+// Suspects knows the requests that may crash endpoints. *suspects.Service implements it.
+type Suspects interface {
+	// Decide returns how a request may run.
+	Decide(fingerprint string) quarantine.Action
+}
+
 // Options are the settings and dependencies of a forwarder.
 type Options struct {
 	// IP and Zone are the address and the availability zone of this host.
@@ -86,6 +93,7 @@
 	Conditions Conditions
 	Dispatcher *dispatch.Dispatcher
 	Inquirer   Inquirer
+	Suspects   Suspects
 	Headers    dialect.Headers
 	Budget     retrybudget.Settings
 	Clock      clock.Clock
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -63,11 +63,13 @@
 	route   *routing.Route
 	service string
 	// version is the version of the configuration that the route comes from.
-	version   uint64
-	head      *protocol.Request
-	body      *relay.Body
-	arrivedAt time.Time
-	deadline  time.Time
+	version uint64
+	// fingerprint identifies the request among those that crash endpoints.
+	fingerprint string
+	head        *protocol.Request
+	body        *relay.Body
+	arrivedAt   time.Time
+	deadline    time.Time
 }
 
 // repeatable reports whether the route allows the request to run more than once.
@@ -144,6 +146,7 @@
 		return r, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLeaving, stepAccept, "", nil)
 	}
 	r.head = relay.RequestHead(&c.Request)
+	r.fingerprint = f.fingerprint(r)
 	f.countRequest(r.service, r.repeatable())
 	return r, nil
 }
@@ -231,7 +234,9 @@
 	c.Response.Header.Set(outcome.HeaderOutcome, string(failure.Outcome))
 	c.Response.Header.Set(outcome.HeaderReason, string(failure.Reason))
 	c.Response.Header.SetContentType("application/json")
-	if failure.Outcome == outcome.NotRun && failure.Status == http.StatusServiceUnavailable {
+	// A quarantine outlasts the deadline of any caller, so that a return would be in vain.
+	mayReturn := failure.Reason != outcome.ReasonQuarantined
+	if failure.Outcome == outcome.NotRun && failure.Status == http.StatusServiceUnavailable && mayReturn {
 		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r).Seconds(), 'f', 3, 64))
 	}
 	// Encoding cannot fail: all fields are strings.
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -89,6 +89,8 @@
 		Service:       r.service,
 		Endpoint:      p.endpoint.ID,
 		Route:         r.route.Name,
+		Fingerprint:   r.fingerprint,
+		Suspect:       p.suspect,
 		Repeatable:    r.repeatable(),
 		Long:          r.route.Kind == routing.Download,
 		MaxWait:       p.maxWait,
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -151,7 +151,7 @@
 		IP: s.IP, Zone: s.Zone, HopPort: hopPort,
 		CallerService: func() string { return m.settings.Load().Service },
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
-		Inquirer: &inquirer{member: m}, Headers: platform.Headers,
+		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Headers: platform.Headers,
 		Budget: retrybudget.Settings{Ratio: s.RetryRatio, Constant: s.RetryConstant, Window: s.RetryWindow},
 		Clock:  m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: m.telemetry.Metrics(),
 	})
