Show and lift the quarantine of requests that crash endpoints

Operators had no way to see which requests are refused since they crash endpoints, nor to end that. agatectl status lists them with the endpoints that crashed, agatectl lift lets one run again on all nodes, and the gauge agatepulley_quarantined_requests counts those that are refused.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -21,12 +21,13 @@
 	exitWaitTimeout = 100 * time.Millisecond
 )
 
-// Sources are the parts of a node from which the admin server reads. Metrics may be nil.
+// Sources are the parts of a node that the admin server uses. Metrics and Quarantine may be nil.
 type Sources struct {
-	Status    StatusSource
-	Readiness ReadinessSource
-	Explainer Explainer
-	Metrics   http.Handler
+	Status     StatusSource
+	Readiness  ReadinessSource
+	Explainer  Explainer
+	Metrics    http.Handler
+	Quarantine Quarantine
 }
 
 // Server is the admin HTTP server of a node.
@@ -92,6 +93,9 @@
 	s.hertz.GET("/explain/:id", s.explain)
 	s.hertz.GET("/ready", s.ready)
 	s.hertz.GET("/live", s.live)
+	if s.sources.Quarantine != nil {
+		s.hertz.POST(LiftPath+":fingerprint", s.lift)
+	}
 	if s.sources.Metrics != nil {
 		s.hertz.GET("/metrics", adaptor.HertzHandler(s.sources.Metrics))
 	}
@@ -117,6 +121,24 @@
 	s.respond(c, status, Explanation{RequestID: id, Decisions: decisions})
 }
 
+// LiftPath is the path, up to a fingerprint, to which a POST ends the quarantine of requests.
+const LiftPath = "/quarantine/lift/"
+
+// Lifted is the response to a POST to LiftPath.
+type Lifted struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
+func (s *Server) lift(_ context.Context, c *app.RequestContext) {
+	fingerprint := c.Param("fingerprint")
+	if !s.sources.Quarantine.Lift(fingerprint) {
+		s.respond(c, http.StatusNotFound, Lifted{})
+		return
+	}
+	s.logger.Info("quarantine lifted", "fingerprint", fingerprint)
+	s.respond(c, http.StatusOK, Lifted{Fingerprint: fingerprint})
+}
+
 func (s *Server) ready(_ context.Context, c *app.RequestContext) {
 	readiness := s.sources.Readiness.Readiness()
 	status := http.StatusOK
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -17,6 +17,7 @@
 	Services      []ServiceStatus     `json:"services"`
 	Owned         []OwnedStatus       `json:"owned"`
 	Leaving       []LeavingStatus     `json:"leaving"`
+	Suspects      []SuspectStatus     `json:"suspects,omitempty"`
 }
 
 // NodeStatus describes the node itself.
@@ -110,6 +111,16 @@
 	Since  time.Time `json:"since"`
 }
 
+// SuspectStatus describes requests that may crash endpoints.
+type SuspectStatus struct {
+	Fingerprint string `json:"fingerprint"`
+	Service     string `json:"service"`
+	// Action says how the requests are treated: "run-alone" or "refuse".
+	Action string `json:"action"`
+	// Crashed lists the endpoints that crashed while they ran such a request.
+	Crashed []string `json:"crashed"`
+}
+
 // Readiness says whether the node accepts requests of callers, and if not, why.
 type Readiness struct {
 	Ready  bool   `json:"ready"`
@@ -132,6 +143,12 @@
 	Explain(requestID string) []decision.Decision
 }
 
+// Quarantine holds the requests that may crash endpoints.
+type Quarantine interface {
+	// Lift lets the requests with a fingerprint run again, on all nodes. It returns false if they are not suspected.
+	Lift(fingerprint string) bool
+}
+
 // ReadinessSource reports whether the node accepts requests of callers.
 type ReadinessSource interface {
 	Readiness() Readiness
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -68,6 +68,7 @@
 		{"diff", "List the changes between two documents", diffHelp, &diffCommand{env: env}},
 		{"status", "Show the status of a node", statusHelp, &statusCommand{env: env}},
 		{"explain", "Show why a node treated a request as it did", explainHelp, &explainCommand{env: env}},
+		{"lift", "Let requests run again that are refused because they crash endpoints", liftHelp, &liftCommand{env: env}},
 		{"report", "Show why requests were not answered in time", reportHelp, &reportCommand{env: env, stdin: os.Stdin}},
 		{"load", "Send requests at a constant rate and report the outcomes", loadHelp, &loadCommand{env: env}},
 	}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -67,9 +67,11 @@
 		Services: []admin.ServiceStatus{{Name: "desk", Endpoints: []admin.EndpointStatus{
 			{ID: "desk-1", State: "ejected", Reason: "score 8.1 over 7.0"},
 		}}},
-		Owned:   []admin.OwnedStatus{{ID: "desk-9", Busy: 2, Slots: 3}},
-		Leaving: []admin.LeavingStatus{{Host: "h3", Source: "host-list", Since: time.Unix(0, 0)}},
+		Owned:    []admin.OwnedStatus{{ID: "desk-9", Busy: 2, Slots: 3}},
+		Suspects: []admin.SuspectStatus{{Fingerprint: "f1", Service: "desk", Action: "refuse", Crashed: []string{"desk-7"}}},
+		Leaving:  []admin.LeavingStatus{{Host: "h3", Source: "host-list", Since: time.Unix(0, 0)}},
 	}))
+	mux.HandleFunc("POST "+admin.LiftPath+"f1", reply(admin.Lifted{Fingerprint: "f1"}))
 	mux.HandleFunc("/explain/r1", reply(admin.Explanation{RequestID: "r1", Decisions: []decision.Decision{
 		{Step: "choose", Subject: "desk-1", Reason: "least-loaded", Candidates: []decision.Candidate{{Endpoint: "desk-2", State: "suspect"}}},
 	}}))
@@ -101,6 +103,8 @@
 		"bad node":         {[]string{"status", "localhost"}, ctl.ExitUsage},
 		"not listening":    {[]string{"status", "127.0.0.1:1"}, ctl.ExitFailure},
 		"unknown request":  {[]string{"explain", node, "r2"}, ctl.ExitFailure},
+		"lift":             {[]string{"lift", node, "f1"}, ctl.ExitSuccess},
+		"lift of nothing":  {[]string{"lift", node, "f2"}, ctl.ExitFailure},
 		"remote target":    {[]string{"load", "--target", "192.0.2.1:1", "--request", "1 GET /"}, ctl.ExitUsage},
 		"bad request":      {[]string{"load", "--target", "127.0.0.1:1", "--request", "GET /"}, ctl.ExitUsage},
 	}
@@ -152,7 +156,7 @@
 	node := serveNode(t)
 	code, stdout, stderr := run("status", node)
 	g.Expect(code).To(gomega.Equal(ctl.ExitSuccess), stderr)
-	for _, text := range []string{"1.7", "digest-conflict", "1.6", "unknown", "never", "ejected", "score 8.1 over 7.0", "desk-9", "host-list"} {
+	for _, text := range []string{"1.7", "digest-conflict", "1.6", "unknown", "never", "ejected", "score 8.1 over 7.0", "desk-9", "host-list", "desk-7"} {
 		g.Expect(stdout).To(gomega.ContainSubstring(text))
 	}
 	_, stdout, _ = run("status", "--json", node)
--- a/pkg/ctl/node.go
+++ b/pkg/ctl/node.go
@@ -24,7 +24,7 @@
 
 const statusHelp = `Shows the configuration in force on a node, the open alarms, the configuration version on each host ` +
 	`that the node knows, the endpoints in the node's view with their states and the reasons, the endpoints that it ` +
-	`owns, and the leaving hosts.`
+	`owns, the requests that may crash endpoints, and the leaving hosts.`
 
 const explainHelp = `Shows the decisions that a node recorded for a request: candidates, choice, outcome and the rule ` +
 	`that decided. A node keeps the decisions of its latest 8192 requests. The request id is in the response header ` +
@@ -80,14 +80,43 @@
 	return writeExplanation(c.env.stdout, &explanation)
 }
 
+const liftHelp = `Lets the requests with a fingerprint run again, on all nodes, after they were refused because they have crashed ` +
+	`endpoints. The command status lists the fingerprints. If such a request crashes two endpoints again, it is refused again.`
+
+type liftCommand struct {
+	env        *environment
+	Positional struct {
+		Node        string `positional-arg-name:"NODE" description:"admin address of the node (IP:PORT)"`
+		Fingerprint string `positional-arg-name:"FINGERPRINT" description:"fingerprint as the status shows it"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *liftCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	path := admin.LiftPath + url.PathEscape(c.Positional.Fingerprint)
+	var lifted admin.Lifted
+	if _, err := call(c.env.ctx, http.MethodPost, c.Positional.Node, path, &lifted); err != nil {
+		return err
+	}
+	return write(c.env.stdout, []byte("lifted "+lifted.Fingerprint+"\n"))
+}
+
 // fetch requests a path of a node's admin server, decodes the JSON response into value and returns the response body.
 func fetch(ctx context.Context, node, path string, value any) ([]byte, error) {
+	return call(ctx, http.MethodGet, node, path, value)
+}
+
+// call sends a request without a body to a node's admin server, decodes the JSON response into value and returns its body.
+func call(ctx context.Context, method, node, path string, value any) ([]byte, error) {
 	if _, err := netip.ParseAddrPort(node); err != nil {
 		return nil, &UsageError{Err: fmt.Errorf("node %q: want IP:PORT", node)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("create request to %s: %w", node, err)
 	}
@@ -143,6 +172,12 @@
 	for _, o := range s.Owned {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", o.ID, o.Service, o.Address, o.State, o.Busy, o.Queued, o.Slots)
 	}
+	if len(s.Suspects) > 0 {
+		fmt.Fprintln(table, "\nSUSPECT REQUESTS\tSERVICE\tACTION\tCRASHED")
+	}
+	for _, suspect := range s.Suspects {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", suspect.Fingerprint, suspect.Service, suspect.Action, strings.Join(suspect.Crashed, ", "))
+	}
 	if len(s.Leaving) > 0 {
 		fmt.Fprintln(table, "\nLEAVING\tSOURCE\tSINCE")
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -132,7 +132,7 @@
 	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
 	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve, m.logger)
 	m.admin = admin.NewServer(s.AdminListen, admin.Sources{
-		Status: m, Readiness: m, Explainer: m.decisions, Metrics: tele.Handler(),
+		Status: m, Readiness: m, Explainer: m.decisions, Metrics: tele.Handler(), Quarantine: m.suspects,
 	}, m.logger)
 	m.handleInquiries()
 	return m, errors.Join(m.register(), m.observeMetrics())
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -47,6 +47,11 @@
 		}
 		status.Owned = append(status.Owned, owned)
 	}
+	for _, suspect := range m.suspects.List() {
+		status.Suspects = append(status.Suspects, admin.SuspectStatus{
+			Fingerprint: suspect.Fingerprint, Service: suspect.Service, Action: suspect.Action.String(), Crashed: suspect.Crashed,
+		})
+	}
 	return status
 }
 
@@ -86,6 +91,9 @@
 		metrics.ObserveGauge("agatepulley_configuration_unknown_values", "Values of the configuration in force that this release does not know.", func() float64 {
 			return float64(m.discovery.UnknownValues())
 		}),
+		metrics.ObserveGauge("agatepulley_quarantined_requests", "Fingerprints of requests that are refused because they crash endpoints.", func() float64 {
+			return float64(m.suspects.Refused())
+		}),
 		metrics.ObserveGauge("agatepulley_panics", "Panics that were recovered.", func() float64 {
 			return float64(guard.Panics())
 		}),
--- a/pkg/suspects/suspects.go
+++ b/pkg/suspects/suspects.go
@@ -170,20 +170,42 @@
 	return cleared
 }
 
-// Active returns the records of the suspects that have crashed at least one endpoint and were not cleared.
-func (s *Service) Active() []quarantine.Record {
+// Suspect is a fingerprint whose requests do not run normally.
+type Suspect struct {
+	Fingerprint string
+	Service     string
+	Action      quarantine.Action
+	// Crashed holds the ids of the endpoints that crashed.
+	Crashed []string
+}
+
+// List returns the suspects in the order of their fingerprints.
+func (s *Service) List() []Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.store.Active(1, s.options.Clock.Now())
+	var list []Suspect
+	for _, record := range s.store.Active(1, s.options.Clock.Now()) {
+		list = append(list, Suspect{
+			Fingerprint: record.Fingerprint, Service: record.Service, Action: s.decide(record.Fingerprint), Crashed: crashedBy(record),
+		})
+	}
+	return list
+}
+
+// crashedBy returns the ids of the endpoints in a record.
+func crashedBy(record quarantine.Record) []string {
+	ids := make([]string, 0, len(record.Crashes))
+	for _, c := range record.Crashes {
+		ids = append(ids, c.Endpoint)
+	}
+	return ids
 }
 
 // Refused returns the number of fingerprints that are refused.
 func (s *Service) Refused() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	count := 0
-	for _, record := range s.store.Active(repeatCrashes, s.options.Clock.Now()) {
-		if s.decide(record.Fingerprint) == quarantine.Refuse {
+	for _, suspect := range s.List() {
+		if suspect.Action == quarantine.Refuse {
 			count++
 		}
 	}
@@ -309,12 +331,8 @@
 	if after == before && requestID == "" {
 		return
 	}
-	var endpoints []string
-	for _, c := range record.Crashes {
-		endpoints = append(endpoints, c.Endpoint)
-	}
 	s.options.Decisions.Record(decision.Decision{
 		RequestID: requestID, Step: stepQuarantine, Service: record.Service, Outcome: after.String(), Reason: reason,
-		Inputs: map[string]any{"fingerprint": record.Fingerprint, "crashed": strings.Join(endpoints, " "), "before": before.String()},
+		Inputs: map[string]any{"fingerprint": record.Fingerprint, "crashed": strings.Join(crashedBy(record), " "), "before": before.String()},
 	})
 }
