Send first requests to new endpoints of services without repeatable ones

It holds for services whose requests may all run only once: a new endpoint counts as likelier to fail (0.1) than one that works (below 0.01), and only repeatable requests probe.

Now all nodes together send three requests a second to such an endpoint until the first has ended.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -6,7 +6,8 @@
 // nodes that decide at the same moment on the same reports do not all choose the same endpoint.
 //
 // Requests that may run more than once also serve as probes: some of them are sent to endpoints without a recent outcome,
-// so that recent outcomes are available when an endpoint is chosen for a request that may run only once.
+// so that recent outcomes are available when an endpoint is chosen for a request that may run only once. In a service without
+// such requests, a few others are sent to each new endpoint until one has ended there.
 package placement
 
 import (
@@ -29,6 +30,8 @@
 	Busy, Queued, SentSinceReport int
 	// ServiceTime is the mean time that the endpoint needs for a request, or 0 if it is not known.
 	ServiceTime time.Duration
+	// New is set if the endpoint's host reports that no request has ended there yet.
+	New bool
 	// SinceOutcome is the time since the latest known outcome of a request at the endpoint.
 	SinceOutcome time.Duration
 	// RoundTrip is the round-trip time to the endpoint's host.
@@ -53,6 +56,9 @@
 	RetryBudgetLow bool
 	// RepeatablePerSecond is the rate of repeatable requests of the service over all nodes, in requests per second.
 	RepeatablePerSecond float64
+	// SingleRunPerSecond is the rate of all requests of the service over all nodes, in requests per second, if none of them may
+	// be repeated; otherwise it is 0.
+	SingleRunPerSecond float64
 	// TargetLatency is the time within which the caller should receive the response.
 	TargetLatency time.Duration
 	// MedianServiceTime is the median of the known service times of the candidates.
@@ -67,7 +73,9 @@
 const (
 	ReasonBest    Reason = "lowest-cost"
 	ReasonExplore Reason = "explore"
-	ReasonNone    Reason = "no-candidate"
+	// ReasonFirst is the choice of a new endpoint for a request that may run only once.
+	ReasonFirst Reason = "first-request"
+	ReasonNone  Reason = "no-candidate"
 )
 
 const (
@@ -95,6 +103,10 @@
 	probeFailingAfter = 1200 * time.Millisecond
 	failingAbove      = 0.6
 	probesPerSecond   = 3.0
+	// firstPerSecond is the number of requests per second that all nodes together send to a new endpoint of a service whose
+	// requests may all run only once, until the first of them has ended. Without them it would stay unknown: the chance that a
+	// new endpoint fails is higher than that of one which works.
+	firstPerSecond = 3.0
 	// lowBudgetProbeShare is the share of the probes of failing endpoints that is sent while the retry budget is low.
 	lowBudgetProbeShare = 0.5
 	// probeMaxPathFail is the highest probability of a failing path at which an endpoint is probed. Above it, a failure
@@ -117,9 +129,34 @@
 			return n, ReasonExplore
 		}
 	}
+	if n := first(rng, r, candidates); n >= 0 {
+		return n, ReasonFirst
+	}
 	return best(rng, r, candidates)
 }
 
+// first returns the index of a new candidate to which a request that may run only once is sent so that its condition becomes
+// known, or -1.
+func first(rng *rand.Rand, r Request, candidates []Candidate) int {
+	if r.SingleRunPerSecond <= 0 {
+		return -1
+	}
+	chosen, count := -1, 0
+	for n := range candidates {
+		c := &candidates[n]
+		if !c.New || c.Tried || c.SentSinceReport > 0 || c.freeSlots() < 1 || c.failProbability() >= unreliableFrom {
+			continue
+		}
+		if count++; rng.IntN(count) == 0 {
+			chosen = n
+		}
+	}
+	if rng.Float64()*r.SingleRunPerSecond >= firstPerSecond*float64(count) {
+		return -1
+	}
+	return chosen
+}
+
 // MedianServiceTime returns the median of the service times that are known, or the default if none is.
 func MedianServiceTime(candidates []Candidate) time.Duration {
 	times := make([]time.Duration, 0, len(candidates))
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -153,6 +153,24 @@
 	g.Expect(counts[2]).To(gomega.BeNumerically("<", 20))
 }
 
+// Guards against new endpoints that get no requests in a service whose requests may all run only once, and against more such
+// requests than are needed to learn of their condition.
+func TestNewEndpointsGetFirstRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fresh := placement.Candidate{FailProbability: 0.1, Slots: 3, New: true, SinceOutcome: time.Minute}
+	candidates := []placement.Candidate{healthy(), fresh, healthy(), fresh}
+	single := placement.Request{SingleRunPerSecond: 60, TargetLatency: time.Second, MedianServiceTime: placement.MedianServiceTime(candidates)}
+	counts := draw(single, candidates, 10000)
+	g.Expect(counts[1]).To(gomega.BeNumerically("~", 500, 100))
+	g.Expect(counts[3]).To(gomega.BeNumerically("~", 500, 100))
+	single.SingleRunPerSecond = 0
+	g.Expect(draw(single, candidates, 10000)[1]).To(gomega.BeNumerically("<", 20))
+	single.SingleRunPerSecond = 60
+	candidates[1].SentSinceReport, candidates[3].FailProbability = 1, 0.9
+	counts = draw(single, candidates, 10000)
+	g.Expect(counts[1] + counts[3]).To(gomega.BeNumerically("<", 20))
+}
+
 // Guards against large downloads between zones, which are charged by the byte, while the own zone has free slots, and
 // against downloads that stay in a zone whose endpoints fail.
 func TestLargeRequestsStayInTheirZone(t *testing.T) {
--- a/core/retrybudget/ledger.go
+++ b/core/retrybudget/ledger.go
@@ -186,6 +186,16 @@
 	return l.fleetUsage(now, service, f).RepeatableRequests / l.settings.Window.Seconds()
 }
 
+// SingleRunPerSecond estimates the rate of requests of a service over this node and those that can be reached, if none that this
+// node has counted may be repeated. Otherwise it returns 0.
+func (l *Ledger) SingleRunPerSecond(now time.Duration, service string, f Fleet) float64 {
+	fleet := l.fleetUsage(now, service, f)
+	if fleet.RepeatableRequests > 0 {
+		return 0
+	}
+	return fleet.Requests / l.settings.Window.Seconds()
+}
+
 // UsageOf returns the counts of this node for a service.
 func (l *Ledger) UsageOf(now time.Duration, service string) Usage {
 	return l.budget(service).Usage(now)
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -54,6 +54,16 @@
 	return f.retries.RepeatablePerSecond(now, service, fleet)
 }
 
+// singleRunPerSecond estimates the rate of requests of a service in the fleet if none of them may be repeated, and returns 0
+// otherwise.
+func (f *Forwarder) singleRunPerSecond(service string) float64 {
+	fleet := f.fleet()
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retries.SingleRunPerSecond(now, service, fleet)
+}
+
 // hasSpareRetries reports whether more of the fleet's retry budgets remains than is reserved for failures.
 func (f *Forwarder) hasSpareRetries(service string) bool {
 	fleet := f.fleet()
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -75,6 +75,9 @@
 		r.RetryBudgetLow = !f.hasSpareRetries(fl.request.service)
 		r.RepeatablePerSecond = f.repeatablePerSecond(fl.request.service)
 	}
+	if !r.Repeatable && fl.attempts == 0 {
+		r.SingleRunPerSecond = f.singleRunPerSecond(fl.request.service)
+	}
 	f.mu.Lock()
 	n, reason := placement.Choose(f.rng, r, candidates)
 	f.mu.Unlock()
@@ -173,7 +176,8 @@
 	if known.ServiceTimeMS > 0 {
 		c.ServiceTime = time.Duration(known.ServiceTimeMS) * time.Millisecond
 	}
-	if known.OutcomeAgeMS >= 0 {
+	c.New = known.OutcomeAgeMS < 0
+	if !c.New {
 		c.SinceOutcome = time.Duration(known.OutcomeAgeMS)*time.Millisecond + age
 	}
 }
