--- a/bench/soak/cmd/main.go
+++ b/bench/soak/cmd/main.go
@@ -22,6 +22,7 @@
 	Parallel int           `long:"parallel" default:"2" description:"fleets at the same time"`
 	Hosts    int           `long:"hosts" default:"6" description:"nodes of a fleet"`
 	Duration time.Duration `long:"duration" default:"10s" description:"time in which faults start"`
+	Crashing int           `long:"crashing-requests" default:"2" description:"requests that crash each endpoint which runs them"`
 	Dir      string        `long:"dir" description:"directory for logs; they are kept for seeds that fail" default:"out/soak"`
 }
 
@@ -88,7 +89,7 @@
 		return false, err.Error()
 	}
 	defer progress.Close()
-	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration}
+	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration, CrashingRequests: o.Crashing}
 	outcome, err := soak.Play(context.Background(), plan, binaries, logs, progress)
 	if err != nil {
 		return false, fmt.Sprintf("seed %d: %v", seed, err)
