--- a/pkg/transport/answers_test.go
+++ b/pkg/transport/answers_test.go
@@ -124,9 +124,13 @@
 	})
 }
 
-// fetch sends a request and returns the body of its response.
+// fetch sends a request and returns the body of its response, or an error after clientTimeout.
 func fetch(pool *transport.Pool, path string) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	return fetchWithin(pool, path, clientTimeout)
+}
+
+func fetchWithin(pool *transport.Pool, path string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	head := &protocol.Request{}
 	head.Header.SetMethod("GET")
