Refuse late in a planned stop what cannot be finished, from the stop notice on

Cause: requests with a deadline after the exit were refused only from half of the grace on, whatever the grace is. With one of 10 s that is 2.7 s after the end of the stop notice.

Now the end of the notice (2.3 s on the users' platform) decides. What comes earlier is still taken, since its callers have no other node yet. The new spec failed before (EOF for a request that ran) and passes; the other specs of planned stops pass.

--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -16,19 +16,17 @@
 	stopReserve = time.Second
 	// stopMargin is how long before the end of the stop timeout the process exits, so that it is not killed.
 	stopMargin = 100 * time.Millisecond
-	// lateShare is the share of the stop timeout after which a request is accepted only if its deadline is early enough that
-	// it ends in time in any case. By then, callers that can use another node have switched to it.
-	lateShare = 0.5
 )
 
 // stop stops the node without interrupting requests in flight. The node accepts no more work for its endpoint. Requests that
-// callers still send are forwarded to other hosts, and the responses ask the callers to close their connections.
+// callers still send are forwarded to other hosts, and the responses ask the callers to close their connections. After
+// Settings.StopNotice, when callers can use another node, a request is accepted only if its deadline is before the exit.
 func (m *Member) stop() error {
 	m.life.Fire(lifecycle.Stop)
 	m.dispatcher.Leave()
 	m.reports.Notify()
-	timeout := m.settings.Load().StopTimeout
-	m.forwarder.BeginDrain(time.Now().Add(time.Duration(lateShare*float64(timeout))), time.Now().Add(timeout-2*stopMargin))
+	s, now := m.settings.Load(), time.Now()
+	m.forwarder.BeginDrain(now.Add(s.StopNotice), now.Add(s.StopTimeout-2*stopMargin))
 	m.awaitIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
 	defer cancel()
