Refuse late in a planned stop what cannot be finished with published hosts too

Now both paths use lifecycle.Drain: after the notice, a request whose deadline is after the exit is refused at once with 503 (reason leaving); what came earlier is served.

The new spec fails without the check (connection closed, no response, until the node exits) and passes with it; pkg/node, ingress, member and forward pass.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -22,6 +22,7 @@
 	"agatepulley.example/agatepulley/pkg/dispatch"
 	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/telemetry"
@@ -107,7 +108,7 @@
 	options  Options
 	ids      *attempts.IDs
 	stats    transport.Stats
-	drain    atomic.Pointer[drain]
+	drain    atomic.Pointer[lifecycle.Drain]
 	inFlight atomic.Int64
 	bodies   *relay.BodyMemory
 
@@ -156,20 +157,10 @@
 	return kernel.AwaitClosed(ctx, f.done, "connections to other nodes")
 }
 
-// drain holds the times of a planned stop: requests that arrive after lateFrom are accepted only if their deadline is not
-// after end, when the process exits.
-type drain struct{ lateFrom, end time.Time }
-
-// BeginDrain begins a planned stop: from now on all responses ask callers to close their connections. Requests that arrive
-// after lateFrom and have a deadline after end are refused, so that none is cut off when the process exits.
-func (f *Forwarder) BeginDrain(lateFrom, end time.Time) {
-	f.drain.Store(&drain{lateFrom: lateFrom, end: end})
-}
-
-// tooLate reports whether a request arrived so late in a planned stop that it may not be finished before the exit.
-func (f *Forwarder) tooLate(r *request) bool {
-	d := f.drain.Load()
-	return d != nil && r.arrivedAt.After(d.lateFrom) && r.deadline.After(d.end)
+// BeginDrain begins a planned stop: from now on all responses ask callers to close their connections, and requests that the
+// exit might cut off are refused.
+func (f *Forwarder) BeginDrain(d lifecycle.Drain) {
+	f.drain.Store(&d)
 }
 
 // InFlight returns the number of requests of callers that are being served.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -142,7 +142,7 @@
 		return r, relay.BodyFailure(stepBody, err)
 	}
 	r.body = body
-	if f.tooLate(r) {
+	if f.drain.Load().Refuses(r.arrivedAt, r.deadline) {
 		return r, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLeaving, stepAccept, "", nil)
 	}
 	r.head = relay.RequestHead(&c.Request)
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -91,6 +91,9 @@
 		return nil, nil, failure
 	}
 	r, failure := i.readRequest(c, id, snapshot.Service(route.Service), route, arrived)
+	if failure == nil && i.drain.Load().Refuses(arrived, r.deadline) {
+		failure = outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLeaving, stepAccept, "", nil)
+	}
 	if failure != nil {
 		release()
 		return nil, nil, failure
@@ -209,7 +212,7 @@
 // setCommonHeaders sets the headers that every response to a caller carries.
 func (i *Ingress) setCommonHeaders(c *app.RequestContext, id string) {
 	c.Response.Header.Set(outcome.HeaderRequestID, id)
-	if i.keepAlivesDisabled.Load() {
+	if i.drain.Load() != nil {
 		c.Response.SetConnectionClose()
 	}
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/kernel"
+	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/owner"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -56,14 +57,14 @@
 
 // Ingress serves requests of callers. It is safe for concurrent use.
 type Ingress struct {
-	options            Options
-	started            time.Time
-	attempts           *attempts.IDs
-	pools              *pools
-	workspaces         *workspaceLimiter
-	classes            *routeClassifier
-	keepAlivesDisabled atomic.Bool
-	inFlight           atomic.Int64
+	options    Options
+	started    time.Time
+	attempts   *attempts.IDs
+	pools      *pools
+	workspaces *workspaceLimiter
+	classes    *routeClassifier
+	drain      atomic.Pointer[lifecycle.Drain]
+	inFlight   atomic.Int64
 
 	mu       sync.RWMutex
 	snapshot *config.Snapshot
@@ -102,9 +103,10 @@
 	return kernel.AwaitClosed(ctx, i.done, "health loop")
 }
 
-// DisableKeepAlives makes all further responses to callers ask for the connection to be closed.
-func (i *Ingress) DisableKeepAlives() {
-	i.keepAlivesDisabled.Store(true)
+// BeginDrain begins a planned stop: all further responses to callers ask for the connection to be closed, and requests that
+// the exit might cut off are refused.
+func (i *Ingress) BeginDrain(d lifecycle.Drain) {
+	i.drain.Store(&d)
 }
 
 // InFlight returns the number of requests of callers that are being served.
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -26,7 +26,7 @@
 	m.dispatcher.Leave()
 	m.reports.Notify()
 	s, now := m.settings.Load(), time.Now()
-	m.forwarder.BeginDrain(now.Add(s.StopNotice), now.Add(s.StopTimeout-2*stopMargin))
+	m.forwarder.BeginDrain(lifecycle.Drain{Late: now.Add(s.StopNotice), End: now.Add(s.StopTimeout - 2*stopMargin)})
 	m.awaitIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
 	defer cancel()
--- a/pkg/node/leaving_test.go
+++ b/pkg/node/leaving_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -133,6 +134,49 @@
 	}
 })
 
+// Guards against requests that are taken late in a planned stop and cut off by the exit.
+var _ = Describe("a node that is stopped", func() {
+	It("refuses late requests that it might not finish", func() {
+		released := make(chan struct{})
+		release := sync.OnceFunc(func() { close(released) })
+		var runs atomic.Int32
+		backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			<-released
+		}))
+		DeferCleanup(backend.Close)
+		DeferCleanup(release)
+		settings := newSettings("h0", "z1", "--config-service", "127.0.0.1:1", "--drain-timeout", "3s")
+		owner := newSettings("h1", "z1", "--config-service", "127.0.0.1:1", "--backend", "e1="+backend.Listener.Addr().String())
+		document := &config.Document{
+			Format: config.Format, Version: config.Version{Epoch: 1, Sequence: 1}, Hosts: []config.Host{hostOf(settings), hostOf(owner)},
+			Services: []config.Service{{
+				Name: "s", Claims: config.ClaimSettings{WindowMS: 5000, Generation: 1, Recorders: []string{"h1"}},
+				Endpoints: []config.Endpoint{{ID: "e1", Host: "h1", Slots: 3}},
+			}},
+			Routes: []config.Route{{ID: "all", PathPrefix: "/", Service: "s", Repeatable: true, DeadlineMS: 10000}},
+		}
+		startNode(owner, document)
+		node := startNode(settings, document)
+		get := func() int {
+			response, err := client().Get("http://" + settings.Listen + "/x")
+			if err != nil {
+				return 0
+			}
+			defer response.Body.Close()
+			return response.StatusCode
+		}
+		early := make(chan int, 1)
+		go func() { early <- get() }()
+		Eventually(runs.Load, hangGuard).Should(Equal(int32(1)))
+		node.stop()
+		Eventually(get, hangGuard).Should(Equal(http.StatusServiceUnavailable))
+		release()
+		Expect(<-early).To(Equal(http.StatusOK))
+		Expect(runs.Load()).To(Equal(int32(1)))
+	})
+})
+
 // publishDraining puts a version in force that drains the host, at the stayer only; the peers pass it on.
 func publishDraining(t *trio) {
 	draining := *t.document
