Let a suspect begin only while no other one runs at the endpoint

Two suspects that arrived together, or one that was granted a slot after it had waited, ran beside each other. A crash then proves neither of them, and costs one more endpoint. Reading the map while another request is added to it can also end the process.

Now the check is made under the lock, on arrival and once more in the step that marks the request as running; a refusal there is truthful, since nothing was sent.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -30,9 +30,12 @@
 	}
 }
 
-// runsSuspect reports whether a suspect is running, so that another one should run elsewhere: if the endpoint crashes, it must
-// be known which of them was the cause. The caller holds the lock.
-func (e *endpoint) runsSuspect() bool {
+// mustRunElsewhere reports whether a request is a suspect and another suspect is running: if the endpoint crashes, it must be
+// known which of them was the cause. A request that may not be refused as busy runs all the same. The caller holds the lock.
+func (e *endpoint) mustRunElsewhere(r *Request) bool {
+	if !r.Suspect || r.MaxWait <= 0 {
+		return false
+	}
 	for _, run := range e.running {
 		if run.request.Suspect {
 			return true
--- /dev/null
+++ b/pkg/dispatch/crash_test.go
@@ -0,0 +1,123 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
+	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/dialect"
+	"agatepulley.example/agatepulley/pkg/dispatch"
+	"agatepulley.example/agatepulley/pkg/hop"
+	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/suspects"
+	"agatepulley.example/agatepulley/pkg/telemetry"
+	"agatepulley.example/agatepulley/pkg/transport"
+)
+
+const deadline = 5 * time.Second
+
+// fleetSuspects is what the fleet knows of suspects: it gives the same decision for all requests and records crashes.
+type fleetSuspects struct {
+	action quarantine.Action
+
+	mu      sync.Mutex
+	crashed []suspects.InFlight
+}
+
+func (s *fleetSuspects) Decide(string) quarantine.Action { return s.action }
+
+func (s *fleetSuspects) Succeeded(string) {}
+
+func (s *fleetSuspects) Crashed(_ quarantine.CrashID, inFlight []suspects.InFlight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = append(s.crashed, inFlight...)
+}
+
+// newDispatcher returns a dispatcher for the endpoint e1 with the given number of slots.
+func newDispatcher(t *testing.T, backend string, slots int, known dispatch.Suspects) *dispatch.Dispatcher {
+	log, err := telemetry.NewLog(t.Output(), telemetry.FormatJSON, "error")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := &registry.Endpoint{Entry: registry.Entry{ID: "e1", Service: "desk", Address: backend, Slots: slots}}
+	view := &registry.View{ByID: map[string]*registry.Endpoint{"e1": listed}}
+	return dispatch.New(dispatch.Options{
+		Backend: backend, Clock: clock.NewBootTime(), Decisions: decision.NewRecorder(log, 16), Logger: slog.New(slog.DiscardHandler),
+		Headers: dialect.Headers{
+			RequestID: "X-Request-Id", DeadlineMS: "X-Deadline-Ms", Signature: "X-Signature", TargetInstance: "X-Target",
+			NotRun: "X-Not-Run", CallerService: "X-Caller",
+		},
+		View:       func() *registry.View { return view },
+		PeerMedian: func(string, string) (reports.Endpoint, bool) { return reports.Endpoint{}, false }, ConditionChanged: func() {}, Suspects: known,
+	})
+}
+
+// newRequest returns a request that waits a moment for a slot at most, so that it may be refused as busy.
+func newRequest(id string, body io.Reader) *dispatch.Request {
+	head := &protocol.Request{}
+	head.SetMethod(http.MethodPost)
+	head.SetRequestURI("/book/x")
+	head.Header.SetHost("desk.example")
+	return &dispatch.Request{
+		Meta: hop.Meta{
+			RequestID: id, Attempt: id, Service: "desk", Endpoint: "e1", Route: "book", Fingerprint: "f-" + id,
+			MaxWait: 20 * time.Millisecond, Remaining: deadline,
+		},
+		Transport: &transport.Request{Head: head, Body: body, Length: -1},
+	}
+}
+
+// Guards against two suspects in flight at the same crash: it would not be known which of them was the cause.
+func TestSuspectsNeverRunTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var running, most atomic.Int32
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		time.Sleep(5 * time.Millisecond)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Signature", "s")
+	}))
+	defer backend.Close()
+	const slots = 4
+	d := newDispatcher(t, backend.Listener.Addr().String(), slots, &fleetSuspects{action: quarantine.RunAlone})
+	var served atomic.Int32
+	for round := range 30 {
+		var tasks sync.WaitGroup
+		for n := range 2 * slots {
+			tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				response, failure := d.Do(ctx, newRequest(fmt.Sprintf("%d-%d", round, n), strings.NewReader("rolls")))
+				if failure != nil {
+					g.Expect(failure.Outcome).To(gomega.Equal(outcome.NotRun))
+					return
+				}
+				served.Add(1)
+				response.Close()
+			})
+		}
+		tasks.Wait()
+	}
+	g.Expect(served.Load()).To(gomega.BeNumerically(">=", 30))
+	g.Expect(most.Load()).To(gomega.Equal(int32(1)))
+}
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -233,12 +233,12 @@
 func (e *endpoint) offer(ctx context.Context, r *Request) (chan error, *outcome.Error) {
 	now := e.dispatcher.now()
 	deadline, _ := ctx.Deadline()
-	if r.Suspect && r.MaxWait > 0 && e.runsSuspect() {
-		return nil, refuse(r, stepAdmit, outcome.ReasonBusy, errOtherSuspect)
-	}
 	item := admission.Item{ID: r.Attempt, Long: r.Long, Priority: r.Priority, Deadline: now + time.Until(deadline), MaxWait: r.MaxWait}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.mustRunElsewhere(r) {
+		return nil, refuse(r, stepAdmit, outcome.ReasonBusy, errOtherSuspect)
+	}
 	decided := e.queue.Offer(now, item)
 	switch decided.Verdict {
 	case admission.Run:
@@ -320,14 +320,18 @@
 	}
 }
 
-// begin records that a request is sent.
-func (e *endpoint) begin(r *Request) {
+// begin records that a request is about to be sent. It refuses a suspect if another one has begun while this one was queued.
+func (e *endpoint) begin(r *Request) *outcome.Error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.mustRunElsewhere(r) {
+		return refuse(r, stepDispatch, outcome.ReasonBusy, errOtherSuspect)
+	}
 	usual := e.usualTime(r.Route)
 	e.running[r.Attempt] = &running{
 		begin: e.dispatcher.now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
 	}
+	return nil
 }
 
 // usualTime returns the mean service time of a route, or an estimate if none of its requests has succeeded yet. The caller
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -24,8 +24,10 @@
 		return nil, failure
 	}
 	e.setHeaders(ctx, r)
+	if failure := e.begin(r); failure != nil {
+		return nil, failure
+	}
 	e.dispatcher.attempts.Set(r.Attempt, attempts.Running)
-	e.begin(r)
 	begin := e.dispatcher.now()
 	response, err := e.exchange(ctx, r)
 	took := e.dispatcher.now() - begin
@@ -36,8 +38,8 @@
 }
 
 // recheck refuses a request whose deadline has passed, whose endpoint began to leave or which was quarantined while it was
-// queued. It compares the
-// deadline with the time because after a pause of the process the context's timer may not have fired yet.
+// queued. It compares the deadline with the time because after a pause of the process the context's timer may not have fired
+// yet.
 func (e *endpoint) recheck(ctx context.Context, r *Request) *outcome.Error {
 	deadline, ok := ctx.Deadline()
 	if ctx.Err() != nil || (ok && !time.Now().Before(deadline)) {
