Suspect uploads that crash an endpoint before they are sent completely

An endpoint that ends when it begins a long upload breaks the write, so the request was never a suspect, ended with connection-lost and went on to the next endpoint each time.

Now a request counts as in flight from the first byte on (transport.Request OnWrite).

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -21,7 +21,7 @@
 	crashSpan = 500 * time.Millisecond
 )
 
-// markSent records that a request has been written to the endpoint.
+// markSent records that a request is being written to the endpoint, which may begin to run it before it has all of it.
 func (e *endpoint) markSent(r *Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -1,10 +1,12 @@
 package dispatch_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -121,3 +123,35 @@
 	g.Expect(served.Load()).To(gomega.BeNumerically(">=", 30))
 	g.Expect(most.Load()).To(gomega.Equal(int32(1)))
 }
+
+// Guards against uploads that crash endpoints before they have been sent completely and are not suspected.
+func TestUploadInProgressAtACrashIsSuspected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	known := &fleetSuspects{}
+	d := newDispatcher(t, listener.Addr().String(), 3, known)
+	body, sender := io.Pipe()
+	go func() {
+		for err := error(nil); err == nil; time.Sleep(time.Millisecond) {
+			_, err = sender.Write(make([]byte, 32<<10))
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	_, failure := d.Do(ctx, newRequest("upload", body))
+	_ = body.Close()
+	g.Expect(failure).NotTo(gomega.BeNil())
+	g.Expect(failure.Reason).To(gomega.Equal(outcome.ReasonBackendCrash))
+	g.Expect(known.crashed).To(gomega.HaveLen(1))
+	g.Expect(known.crashed[0].Fingerprint).To(gomega.Equal("f-upload"))
+}
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -62,8 +62,8 @@
 	limit   time.Duration
 	stalled bool
 	request *Request
-	// sent is set once the request has been written to the endpoint, lost once its connection has ended without a response,
-	// and crashed once it counts as in flight at a crash of the endpoint.
+	// sent is set once the first byte may have been written to the endpoint, lost once its connection has ended without a
+	// response, and crashed once it counts as in flight at a crash of the endpoint.
 	sent, lost, crashed bool
 }
 
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -72,11 +72,11 @@
 
 // exchange sends a request to the endpoint and waits for the head of the response.
 func (e *endpoint) exchange(ctx context.Context, r *Request) (*transport.Response, error) {
+	r.Transport.OnWrite = func() { e.markSent(r) }
 	pending, err := e.dispatcher.pool.Send(ctx, r.Transport)
 	if err != nil {
 		return nil, err
 	}
-	e.markSent(r)
 	return pending.Await()
 }
 
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -75,6 +75,8 @@
 	Length int64
 	// Accept reports whether a response belongs to the request. If it is nil, the first response is accepted.
 	Accept func(head *protocol.Response) bool
+	// OnWrite, if not nil, is called when a connection is open and before the first byte is written to it.
+	OnWrite func()
 }
 
 // Stats counts how a pool obtained connections: by dialing or by reusing an idle one. Discarded counts the idle
@@ -112,6 +114,9 @@
 		return nil, &Error{Step: StepConnect, Address: p.address, Err: err}
 	}
 	pending := newPending(ctx, p, c, request)
+	if request.OnWrite != nil {
+		request.OnWrite()
+	}
 	if err := pending.write(request); err != nil {
 		pending.closeConn()
 		return nil, pending.fail(StepWrite, err)
