Refuse lifted requests again when they go on crashing endpoints

For 30 s its crashes made it no suspect, so that a request which still crashed endpoints reached any number of them after agatectl lift; the help said it would be refused after two.

Now only a success counts as one.

--- a/pkg/suspects/suspects.go
+++ b/pkg/suspects/suspects.go
@@ -146,21 +146,25 @@
 
 // Succeeded records that a request has succeeded, which clears it of all crashes.
 func (s *Service) Succeeded(fingerprint string) {
-	if fingerprint != "" {
-		s.clear(fingerprint, "success")
+	if fingerprint == "" {
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.survivors.Add(fingerprint, s.options.Clock.Now())
+	s.clear(fingerprint, "success")
 }
 
 // Lift ends the quarantine of a fingerprint on all nodes, at the request of an operator. It returns false if there is none.
 func (s *Service) Lift(fingerprint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.clear(fingerprint, "operator")
 }
 
+// clear clears a fingerprint of all crashes and returns false if there are none. The caller holds the lock.
 func (s *Service) clear(fingerprint, reason string) bool {
 	now := s.options.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.survivors.Add(fingerprint, now)
 	before := s.decide(fingerprint)
 	record, cleared := s.store.Success(fingerprint, now)
 	if cleared {
--- a/pkg/suspects/suspects_test.go
+++ b/pkg/suspects/suspects_test.go
@@ -153,3 +153,19 @@
 	second.Succeeded("rare")
 	g.Eventually(decisionOf(first, "rare"), hangTimeout).Should(gomega.Equal(quarantine.RunNormally))
 }
+
+// Guards against a lifted quarantine under which a request may crash any number of endpoints.
+func TestLiftedRequestsAreRefusedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := &fleet{links: [][]int{{1}, {0}}}
+	first, second := f.start(t), f.start(t)
+	crash(first, "e1", "f")
+	crash(second, "e2", "f")
+	g.Expect(first.Lift("f")).To(gomega.BeTrue())
+	g.Eventually(decisionOf(second, "f"), hangTimeout).Should(gomega.Equal(quarantine.RunNormally))
+	crash(second, "e3", "f")
+	crash(first, "e4", "f")
+	for _, s := range f.nodes {
+		g.Expect(s.Decide("f")).To(gomega.Equal(quarantine.Refuse))
+	}
+}
