Keep quarantine notices within a packet

A notice held up to 8 records, which with two or three crashes each are 2.3 KB: two IP packets, of which lossy links lose one twice as often, and 11 KB/s for what is told again. Now records share a notice up to 1,400 bytes, and five are told again at a time. TestNoticesFitIntoPackets saw 2,305 bytes before.

--- a/pkg/suspects/suspects.go
+++ b/pkg/suspects/suspects.go
@@ -26,8 +26,10 @@
 	// or more. With 36 links, a node hears of them from several others within a second.
 	tellPeriod    = 200 * time.Millisecond
 	repeatCrashes = 2
-	// maxNoticeRecords bounds a notice to about 1,400 bytes, so that it fits into a packet.
-	maxNoticeRecords = 8
+	// maxNoticeBytes is the length up to which records share a notice, so that it fits into a packet.
+	maxNoticeBytes = 1400
+	// repeatRecords is the number of records that are told again at a time. With two crashes each they fill a notice.
+	repeatRecords = 5
 	// relayFanout is the number of nodes to which a node passes a refusal on when it learns of it, for those that are not
 	// linked with the node of the crash.
 	relayFanout = 4
@@ -225,7 +227,7 @@
 	}
 	var reply, joined, refused []quarantine.Record
 	s.mu.Lock()
-	for _, r := range records[:min(len(records), maxNoticeRecords)] {
+	for _, r := range records {
 		if mine, lacks := s.store.Missing(r, s.options.Clock.Now()); lacks {
 			reply = append(reply, mine)
 		}
@@ -280,15 +282,27 @@
 	return slices.ContainsFunc(r.Crashes, func(c quarantine.Crash) bool { return c.Cleared })
 }
 
-// send sends records in one or more notices.
+// send sends records in as few notices as possible.
 func (s *Service) send(records []quarantine.Record, send func(notice []byte)) {
-	for batch := range slices.Chunk(records, maxNoticeRecords) {
-		notice, err := json.Marshal(batch)
+	var notice []byte
+	for _, r := range records {
+		encoded, err := json.Marshal(r)
 		if err != nil {
 			s.options.Logger.Error("encode quarantine notice", "error", err)
-			return
+			continue
+		}
+		if len(notice) > 0 && len(notice)+len(encoded)+len(",]") > maxNoticeBytes {
+			send(append(notice, ']'))
+			notice = nil
 		}
-		send(notice)
+		separator := byte(',')
+		if len(notice) == 0 {
+			separator = '['
+		}
+		notice = append(append(notice, separator), encoded...)
+	}
+	if len(notice) > 0 {
+		send(append(notice, ']'))
 	}
 }
 
@@ -313,10 +327,10 @@
 	defer s.mu.Unlock()
 	cleared, s.cleared = s.cleared, nil
 	all := s.store.Active(repeatCrashes, s.options.Clock.Now())
-	if len(all) <= maxNoticeRecords {
+	if len(all) <= repeatRecords {
 		return cleared, all
 	}
-	for range maxNoticeRecords {
+	for range repeatRecords {
 		repeated = append(repeated, all[s.told%len(all)])
 		s.told++
 	}
--- a/pkg/suspects/suspects_test.go
+++ b/pkg/suspects/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	mu    sync.Mutex
 	// lost is set while notices are lost.
 	lost bool
+	// largest is the length of the largest notice sent.
+	largest int
 }
 
 // network is the fleet as one node sees it.
@@ -36,6 +39,7 @@
 func (n *network) deliver(to int, notice []byte) {
 	n.fleet.mu.Lock()
 	lost := n.fleet.lost || to >= len(n.fleet.nodes)
+	n.fleet.largest = max(n.fleet.largest, len(notice))
 	n.fleet.mu.Unlock()
 	if !lost {
 		n.fleet.nodes[to].Receive(fmt.Sprint(n.node), notice)
@@ -169,3 +173,24 @@
 		g.Expect(s.Decide("f")).To(gomega.Equal(quarantine.Refuse))
 	}
 }
+
+// Guards against notices that are split into several packets when many requests were in flight at crashes.
+func TestNoticesFitIntoPackets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := &fleet{links: [][]int{{1}, {0}}}
+	first, second := f.start(t), f.start(t)
+	var inFlight []suspects.InFlight
+	for n := range 50 {
+		inFlight = append(inFlight, suspects.InFlight{Fingerprint: fmt.Sprintf("%024d", n), Service: "order-desk-a"})
+	}
+	for n := range 3 {
+		first.Crashed(quarantine.CrashID{Endpoint: fmt.Sprintf("i-%010d", n), Incarnation: math.MaxInt64}, inFlight)
+	}
+	for _, r := range inFlight {
+		g.Expect(second.Decide(r.Fingerprint)).To(gomega.Equal(quarantine.RunAlone))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	const packetBytes = 1400
+	g.Expect(f.largest).To(gomega.BeNumerically("<=", packetBytes))
+}
