Probe endpoints by the age of the latest start, not of the latest end

Each end counted as a recent outcome and put off the next probe, by 0.7 to 1.2 s and the wait for one.

Cause: a probe is due if nothing is known of an endpoint's condition now, but an end says how the endpoint was while the request ran. Now nodes report the age of the latest start (or observed stall).

--- a/core/placement/load_test.go
+++ b/core/placement/load_test.go
@@ -18,9 +18,9 @@
 	failing bool
 	zone    string
 	// ends holds the times at which its running and queued requests end.
-	ends        []time.Duration
-	filter      faultfilter.Filter
-	lastOutcome time.Duration
+	ends      []time.Duration
+	filter    faultfilter.Filter
+	lastStart time.Duration
 	// reported is what nodes know of it.
 	reported placement.Candidate
 }
@@ -44,7 +44,7 @@
 	busy, queued := e.load(now)
 	e.reported = placement.Candidate{
 		FailProbability: e.filter.Probability(now), Slots: simulatedSlots, Busy: busy, Queued: queued, ServiceTime: e.service,
-		SinceOutcome: now - e.lastOutcome,
+		SinceStart: now - e.lastStart,
 	}
 }
 
@@ -53,7 +53,7 @@
 	e.reported.SentSinceReport++
 	if e.failing && rng.Float64() < simulatedReset {
 		e.filter.Observe(now, faultfilter.Failure)
-		e.lastOutcome = now
+		e.lastStart = now
 		e.report(now)
 		return now, false
 	}
@@ -65,7 +65,7 @@
 	end = start + time.Duration(float64(e.service)*(0.6+0.8*rng.Float64()))
 	e.ends = append(e.ends, end)
 	e.filter.Observe(now, faultfilter.Success)
-	e.lastOutcome = end
+	e.lastStart = now
 	return end, true
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,7 +5,7 @@
 // are scarce, so endpoints with free slots and short service times are preferred, and the choice is randomized, so that
 // nodes that decide at the same moment on the same reports do not all choose the same endpoint.
 //
-// Requests that may run more than once also serve as probes: some of them are sent to endpoints without a recent outcome,
+// Requests that may run more than once also serve as probes: some of them are sent to endpoints at which none has begun recently,
 // so that recent outcomes are available when an endpoint is chosen for a request that may run only once. In a service without
 // such requests, a few others are sent to each new endpoint until one has ended there.
 package placement
@@ -32,8 +32,9 @@
 	ServiceTime time.Duration
 	// New is set if the endpoint's host reports that no request has ended there yet.
 	New bool
-	// SinceOutcome is the time since the latest known outcome of a request at the endpoint.
-	SinceOutcome time.Duration
+	// SinceStart is the time since the latest known start of a request at the endpoint, or since it was observed to stall. A
+	// request that ends says little about the condition of the endpoint since it began.
+	SinceStart time.Duration
 	// RoundTrip is the round-trip time to the endpoint's host.
 	RoundTrip time.Duration
 	// OtherZone is set if the endpoint is in another availability zone than this node.
@@ -94,10 +95,10 @@
 	minFreeSlots = 0.2
 	// unreliableFrom is the probability of failing from which the free slots of an endpoint are not counted.
 	unreliableFrom = 0.3
-	// An endpoint without a recent outcome is probed probesPerSecond times per second by all nodes together, so that an
+	// An endpoint at which no request has begun recently is probed probesPerSecond times per second by all nodes together, so that an
 	// endpoint that has recovered receives requests again within about two seconds. While the retry budget is low, the rate is
 	// lower for endpoints whose probability of failing is above failingAbove, see lowBudgetProbeShare. Probes begin when the
-	// latest outcome is older than probeIdleAfter. An endpoint above failingAbove is probed only after probeFailingAfter, the
+	// latest start is older than probeIdleAfter. An endpoint above failingAbove is probed only after probeFailingAfter, the
 	// shortest time within which it may have recovered.
 	probeIdleAfter    = 700 * time.Millisecond
 	probeFailingAfter = 1200 * time.Millisecond
@@ -201,8 +202,8 @@
 	return chosen, ReasonBest
 }
 
-// explore returns the index of a candidate to probe with the request, or -1. Candidates without a recent outcome are
-// chosen in proportion to their probe rates. A failed probe uses up retry budget, so only the share of the repeatable
+// explore returns the index of a candidate to probe with the request, or -1. Candidates at which no request has begun recently
+// are chosen in proportion to their probe rates. A failed probe uses up retry budget, so only the share of the repeatable
 // requests that yields these probe rates is used for probes.
 func explore(rng *rand.Rand, r Request, candidates []Candidate) int {
 	due, rate := -1, 0.0
@@ -226,11 +227,11 @@
 // probeRate returns the number of probes per second that all nodes together should send to the candidate.
 func (c *Candidate) probeRate(r Request) float64 {
 	switch {
-	case c.FailProbability <= failingAbove && c.SinceOutcome >= probeIdleAfter:
+	case c.FailProbability <= failingAbove && c.SinceStart >= probeIdleAfter:
 		return probesPerSecond
-	case c.FailProbability > failingAbove && c.SinceOutcome >= probeFailingAfter && r.RetryBudgetLow:
+	case c.FailProbability > failingAbove && c.SinceStart >= probeFailingAfter && r.RetryBudgetLow:
 		return probesPerSecond * lowBudgetProbeShare
-	case c.FailProbability > failingAbove && c.SinceOutcome >= probeFailingAfter:
+	case c.FailProbability > failingAbove && c.SinceStart >= probeFailingAfter:
 		return probesPerSecond
 	default:
 		return 0
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -12,7 +12,7 @@
 
 func healthy() placement.Candidate {
 	return placement.Candidate{
-		FailProbability: 0.01, Slots: 3, ServiceTime: 190 * time.Millisecond, SinceOutcome: 100 * time.Millisecond,
+		FailProbability: 0.01, Slots: 3, ServiceTime: 190 * time.Millisecond, SinceStart: 100 * time.Millisecond,
 	}
 }
 
@@ -107,7 +107,7 @@
 		now := time.Duration(n) * time.Second / perSecond
 		candidates := []placement.Candidate{healthy(), healthy(), healthy(), healthy(), healthy(), healthy(), healthy(), healthy()}
 		for e := range last {
-			candidates[e].FailProbability, candidates[e].SinceOutcome = fail, now-last[e]
+			candidates[e].FailProbability, candidates[e].SinceStart = fail, now-last[e]
 			if now-last[e] > window {
 				idle++
 			}
@@ -137,12 +137,12 @@
 }
 
 // Guards against probes by requests that may run only once, and against probes of a failing endpoint before it can have
-// recovered. Repeatable requests probe an endpoint that has no recent outcome.
+// recovered. Repeatable requests probe an endpoint at which no request has begun recently.
 func TestRepeatableRequestsProbe(t *testing.T) {
 	g := gomega.NewWithT(t)
 	idle, failing := healthy(), healthy()
-	idle.SinceOutcome, idle.FailProbability = time.Second, 0.1
-	failing.SinceOutcome, failing.FailProbability = time.Second, 0.95
+	idle.SinceStart, idle.FailProbability = time.Second, 0.1
+	failing.SinceStart, failing.FailProbability = time.Second, 0.95
 	candidates := []placement.Candidate{healthy(), idle, failing, healthy()}
 	probe := placement.Request{Repeatable: true, MayExplore: true, TargetLatency: 800 * time.Millisecond}
 	counts := draw(probe, candidates, 1000)
@@ -157,7 +157,7 @@
 // requests than are needed to learn of their condition.
 func TestNewEndpointsGetFirstRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
-	fresh := placement.Candidate{FailProbability: 0.1, Slots: 3, New: true, SinceOutcome: time.Minute}
+	fresh := placement.Candidate{FailProbability: 0.1, Slots: 3, New: true, SinceStart: time.Minute}
 	candidates := []placement.Candidate{healthy(), fresh, healthy(), fresh}
 	single := placement.Request{SingleRunPerSecond: 60, TargetLatency: time.Second, MedianServiceTime: placement.MedianServiceTime(candidates)}
 	counts := draw(single, candidates, 10000)
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -87,9 +87,10 @@
 	// of each route.
 	meanTime   time.Duration
 	routeTimes map[string]time.Duration
-	// lastOutcome is the time of the latest outcome, valid if hasOutcome is set.
-	lastOutcome time.Duration
-	hasOutcome  bool
+	// lastOutcome is the time of the latest outcome, and lastStart that of the latest start of a request or observation of a
+	// stall. They are valid if hasOutcome is set.
+	lastOutcome, lastStart time.Duration
+	hasOutcome             bool
 	// determining is held while the cause of a lost connection is determined.
 	determining sync.Mutex
 	// latestCrash identifies the latest crash, which was determined at crashedAt.
@@ -158,10 +159,10 @@
 		Queued:        load.Queued,
 		Slots:         load.Slots,
 		ServiceTimeMS: int(e.expectedTime(now).Milliseconds()),
-		OutcomeAgeMS:  -1,
+		StartAgeMS:    -1,
 	}
 	if e.hasOutcome {
-		r.OutcomeAgeMS = int((now - e.lastOutcome).Milliseconds())
+		r.StartAgeMS = int((now - e.lastStart).Milliseconds())
 	}
 	return r
 }
@@ -328,8 +329,9 @@
 		return refuse(r, stepDispatch, outcome.ReasonBusy, errOtherSuspect)
 	}
 	usual := e.usualTime(r.Route)
+	e.lastStart = e.dispatcher.now()
 	e.running[r.Attempt] = &running{
-		begin: e.dispatcher.now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
+		begin: e.lastStart, limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
 	}
 	return nil
 }
@@ -446,7 +448,7 @@
 		if !r.stalled && now-r.begin > r.limit {
 			r.stalled, stalled = true, true
 			e.filter.Observe(now, faultfilter.Stalled)
-			e.lastOutcome, e.hasOutcome = now, true
+			e.lastOutcome, e.lastStart, e.hasOutcome = now, now, true
 		}
 	}
 	e.refuseIfSuspect(now)
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -23,8 +23,8 @@
 	// loadLifetime is the age up to which a reported load is used. An older report is ignored, and only the requests that
 	// this node has sent since then count as load.
 	loadLifetime = 1500 * time.Millisecond
-	// noOutcomeAge is the assumed age of the latest outcome at an endpoint that has not reported any.
-	noOutcomeAge = time.Minute
+	// noStartAge is the assumed age of the latest start of a request at an endpoint that has not reported any.
+	noStartAge = time.Minute
 	// maxWaitShare is the share of the target latency for which a request may wait in an endpoint's queue although other
 	// endpoints remain. Waiting that long costs less than an attempt at another endpoint about which less is known.
 	maxWaitShare = 0.1
@@ -135,7 +135,7 @@
 func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint) (placement.Candidate, bool) {
 	host := registry.HostIP(e.Address)
 	c := placement.Candidate{
-		Slots: e.Slots, SinceOutcome: noOutcomeAge, RoundTrip: zoneRoundTrip,
+		Slots: e.Slots, SinceStart: noStartAge, RoundTrip: zoneRoundTrip,
 		OtherZone: e.Zone != f.options.Zone, FailProbability: faultfilter.Initial,
 	}
 	if c.OtherZone {
@@ -176,9 +176,9 @@
 	if known.ServiceTimeMS > 0 {
 		c.ServiceTime = time.Duration(known.ServiceTimeMS) * time.Millisecond
 	}
-	c.New = known.OutcomeAgeMS < 0
+	c.New = known.StartAgeMS < 0
 	if !c.New {
-		c.SinceOutcome = time.Duration(known.OutcomeAgeMS)*time.Millisecond + age
+		c.SinceStart = time.Duration(known.StartAgeMS)*time.Millisecond + age
 	}
 }
 
@@ -198,7 +198,7 @@
 		Inputs: map[string]any{
 			"candidates": len(candidates), "free": placement.FreeSlots(candidates), "endpoints_revision": revision, "config_version": fl.request.version,
 			"fail": round(c.FailProbability), "path": round(c.PathFailProbability), "busy": c.Busy, "queued": c.Queued,
-			"sent": c.SentSinceReport, "service_ms": c.ServiceTime.Milliseconds(), "outcome_age_ms": c.SinceOutcome.Milliseconds(),
+			"sent": c.SentSinceReport, "service_ms": c.ServiceTime.Milliseconds(), "start_age_ms": c.SinceStart.Milliseconds(),
 			"cost_ms": int(placement.Cost(r, c) * 1000),
 		},
 	})
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -24,8 +24,9 @@
 	Slots  int `json:"s"`
 	// ServiceTimeMS is the mean processing time of a request, in milliseconds, or 0 if it is not known.
 	ServiceTimeMS int `json:"m,omitempty"`
-	// OutcomeAgeMS is the time since the latest request ended, in milliseconds, or negative if none has ended.
-	OutcomeAgeMS int `json:"o"`
+	// StartAgeMS is the time since the latest request began or was observed to stall, in milliseconds, or negative if none has
+	// ended.
+	StartAgeMS int `json:"o"`
 }
 
 // Repeats holds the requests and the retries that a node counted for a service in the latest window of the retry budget.
@@ -95,7 +96,7 @@
 		f.array("endpoint", endpointFields)
 		r.Endpoints = append(r.Endpoints, Endpoint{
 			ID: f.text(), FailPerMille: f.integer(), Busy: f.integer(), Queued: f.integer(), Slots: f.integer(),
-			ServiceTimeMS: f.integer(), OutcomeAgeMS: f.integer(),
+			ServiceTimeMS: f.integer(), StartAgeMS: f.integer(),
 		})
 	}
 	for range f.list() {
@@ -182,10 +183,10 @@
 // that it reports only a default failure probability. Then the failure probability and the processing time from before
 // are kept, and their age counts on, because they say more about the endpoint.
 func (k *ReceivedEndpoint) update(e Endpoint, now time.Duration) *ReceivedEndpoint {
-	if k != nil && e.OutcomeAgeMS < 0 && k.OutcomeAgeMS >= 0 {
+	if k != nil && e.StartAgeMS < 0 && k.StartAgeMS >= 0 {
 		age := now - k.ReceivedAt
 		e.FailPerMille = int(1000 * faultfilter.Project(float64(k.FailPerMille)/1000, age))
-		e.OutcomeAgeMS = k.OutcomeAgeMS + int(age.Milliseconds())
+		e.StartAgeMS = k.StartAgeMS + int(age.Milliseconds())
 		e.ServiceTimeMS = k.ServiceTimeMS
 	}
 	return &ReceivedEndpoint{Endpoint: e, ReceivedAt: now}
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -14,7 +14,7 @@
 	return Report{
 		Zone: "medeu", Incarnation: 1780483690044341060, Sequence: 400, ConfigVersion: 14, Revision: 530,
 		Digest: 0xfeedfacecafebeef, StoreMS: 20, HeardMS: 310,
-		Endpoints: []Endpoint{{ID: "i-7f3a91c2aa", FailPerMille: 213, Busy: 3, Queued: 1, Slots: 5, ServiceTimeMS: 250, OutcomeAgeMS: 40}},
+		Endpoints: []Endpoint{{ID: "i-7f3a91c2aa", FailPerMille: 213, Busy: 3, Queued: 1, Slots: 5, ServiceTimeMS: 250, StartAgeMS: 40}},
 		Repeats:   []Repeats{{Service: "huvo11a", Requests: 90, Repeats: 4}, {Service: "wuno96b", Requests: 30}},
 		Lost:      []string{"10.3.0.41"},
 	}
@@ -38,14 +38,14 @@
 func TestRestartedDispatcherDoesNotEraseEvidence(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var known *ReceivedEndpoint
-	known = known.update(Endpoint{ID: "e", FailPerMille: 980, ServiceTimeMS: 800, OutcomeAgeMS: 40}, time.Second)
-	known = known.update(Endpoint{ID: "e", FailPerMille: 100, Busy: 2, OutcomeAgeMS: -1}, 1500*time.Millisecond)
+	known = known.update(Endpoint{ID: "e", FailPerMille: 980, ServiceTimeMS: 800, StartAgeMS: 40}, time.Second)
+	known = known.update(Endpoint{ID: "e", FailPerMille: 100, Busy: 2, StartAgeMS: -1}, 1500*time.Millisecond)
 	g.Expect(known.FailPerMille).To(gomega.BeNumerically(">", 800))
 	g.Expect(known.ServiceTimeMS).To(gomega.Equal(800))
-	g.Expect(known.OutcomeAgeMS).To(gomega.Equal(540))
+	g.Expect(known.StartAgeMS).To(gomega.Equal(540))
 	g.Expect(known.Busy).To(gomega.Equal(2))
-	known = known.update(Endpoint{ID: "e", FailPerMille: 20, ServiceTimeMS: 300, OutcomeAgeMS: 5}, 2*time.Second)
-	g.Expect(known.Endpoint).To(gomega.Equal(Endpoint{ID: "e", FailPerMille: 20, ServiceTimeMS: 300, OutcomeAgeMS: 5}))
+	known = known.update(Endpoint{ID: "e", FailPerMille: 20, ServiceTimeMS: 300, StartAgeMS: 5}, 2*time.Second)
+	g.Expect(known.Endpoint).To(gomega.Equal(Endpoint{ID: "e", FailPerMille: 20, ServiceTimeMS: 300, StartAgeMS: 5}))
 }
 
 // Guards against a restarted node whose reports are ignored because the wall clock was set back before its start, and
