Suspect requests that begin to crash endpoints after they have succeeded

Callers of a service saw endpoints crash one after the other if a request had succeeded before it became harmful, for example because of changed data: what had succeeded within 30 s was not suspected, so that in this time it reached any number of endpoints.

Cause: the memory of successes keeps popular requests, which are in flight at most crashes, from being suspected; its lifetime also limits how long a request that begins to crash endpoints remains unnoticed. Now it is 3 s. A popular request succeeds more often than that, and a success anywhere clears it.

--- a/pkg/suspects/suspects.go
+++ b/pkg/suspects/suspects.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// survivorCapacity and survivorLifetime bound the memory of requests that have succeeded. It covers 20 s at 200
-	// requests/s.
-	survivorCapacity = 4096
-	survivorLifetime = 30 * time.Second
+	// survivorCapacity and survivorLifetime bound the memory of requests that have succeeded. A request may begin to crash
+	// endpoints at any time, and no crash within the lifetime after its last success counts. The capacity covers the lifetime at
+	// 340 requests/s.
+	survivorCapacity = 1024
+	survivorLifetime = 3 * time.Second
 	// tellPeriod is the interval at which one linked node is told of the requests that have crashed repeatCrashes endpoints
 	// or more. With 36 links, a node hears of them from several others within a second.
 	tellPeriod    = 200 * time.Millisecond
--- a/pkg/suspects/suspects_test.go
+++ b/pkg/suspects/suspects_test.go
@@ -1,11 +1,14 @@
 package suspects_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +30,8 @@
 	lost bool
 	// largest is the length of the largest notice sent.
 	largest int
+	// clock is that of nodes started from now on, or nil for the real one.
+	clock clock.Clock
 }
 
 // network is the fleet as one node sees it.
@@ -72,7 +77,7 @@
 		t.Fatal(err)
 	}
 	s := suspects.New(suspects.Options{
-		Clock: clock.NewBootTime(), Decisions: decision.NewRecorder(log, 16), Logger: slog.New(slog.DiscardHandler),
+		Clock: cmp.Or[clock.Clock](f.clock, clock.NewBootTime()), Decisions: decision.NewRecorder(log, 16), Logger: slog.New(slog.DiscardHandler),
 		Network: &network{fleet: f, node: len(f.nodes)},
 	})
 	f.mu.Lock()
@@ -194,3 +199,35 @@
 	const packetBytes = 1400
 	g.Expect(f.largest).To(gomega.BeNumerically("<=", packetBytes))
 }
+
+// manualClock shows the time that a test has set.
+type manualClock struct{ now atomic.Int64 }
+
+func (c *manualClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+func (c *manualClock) advance(by time.Duration) { c.now.Add(int64(by)) }
+
+// Guards against a request that succeeded until now and crashes one endpoint after the other from now on.
+func TestRequestsThatBeginToCrashEndpointsAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	manual := &manualClock{}
+	f := &fleet{links: [][]int{{1, 2}, {0, 2}, {0, 1}}, clock: manual}
+	for range f.links {
+		f.start(t).Succeeded("f")
+	}
+	const (
+		returnPeriod = 375 * time.Millisecond
+		stableWindow = 3 * time.Second
+	)
+	var crashes []time.Duration
+	for n := 0; manual.Now() < time.Minute; n++ {
+		if node := f.nodes[n%len(f.nodes)]; node.Decide("f") != quarantine.Refuse {
+			crash(node, fmt.Sprint("e", n), "f")
+			crashes = append(crashes, manual.Now())
+		}
+		manual.advance(returnPeriod)
+	}
+	g.Expect(len(crashes)).To(gomega.BeNumerically(">=", 3))
+	late := slices.DeleteFunc(crashes[3:], func(at time.Duration) bool { return at <= crashes[2]+stableWindow })
+	g.Expect(len(late)).To(gomega.BeNumerically("<=", 3))
+}
