Judge keys that ran twice by the claim window

The starts of the two runs of each key were 5.95 s to 8.4 s apart. The claim window of the document is 5 s, and recorders hold a claim for 6.01 s. On a busy machine a response takes up to 8 s, so the caller sends its copy after the window has ended, and the copy may run. The promise is at most once within the window: the check did not know the window, and the recorders keep the promise.

Now the stand-in records when runs start, and the ledger reports a key if two of its runs start within the window of the document. That is as strict within the window: a key that runs again 1 ms before its end is reported (TestKeysMayRunAgainAfterTheClaimWindowOnly), and so is each double run in TestVerdictFindsEachViolation.

--- a/bench/scenario/scenario.go
+++ b/bench/scenario/scenario.go
@@ -117,7 +117,7 @@
 		return nil, err
 	}
 	return &Outcome{
-		Scenario: s.Name, Report: report, Verdict: r.Ledger.Verdict(runs), Interrupted: r.interrupted(),
+		Scenario: s.Name, Report: report, Verdict: r.Ledger.Verdict(runs, claimWindowMS*time.Millisecond), Interrupted: r.interrupted(),
 	}, nil
 }
 
--- a/standin/backend/runs.go
+++ b/standin/backend/runs.go
@@ -8,7 +8,9 @@
 	"io"
 	"io/fs"
 	"os"
+	"slices"
 	"sync"
+	"time"
 )
 
 // Run counts the runs of the requests that carried one key or token.
@@ -21,17 +23,36 @@
 type Runs struct {
 	Keys   map[string]Run `json:"keys"`
 	Tokens map[string]Run `json:"tokens"`
+	// StartsMS holds the start times of the runs by key, in milliseconds since the Unix epoch and in no particular order.
+	StartsMS map[string][]int64 `json:"starts_ms"`
 }
 
 // NewRuns returns empty counts.
 func NewRuns() Runs {
-	return Runs{Keys: make(map[string]Run), Tokens: make(map[string]Run)}
+	return Runs{Keys: make(map[string]Run), Tokens: make(map[string]Run), StartsMS: make(map[string][]int64)}
 }
 
 // Add merges the counts of another server or of an earlier process.
 func (r Runs) Add(other Runs) {
 	addRuns(r.Keys, other.Keys)
 	addRuns(r.Tokens, other.Tokens)
+	for key, starts := range other.StartsMS {
+		r.StartsMS[key] = append(r.StartsMS[key], starts...)
+	}
+}
+
+// ShortestGap returns the shortest time between the starts of two runs with the key. It returns false if there was one run or
+// none.
+func (r Runs) ShortestGap(key string) (time.Duration, bool) {
+	starts := slices.Sorted(slices.Values(r.StartsMS[key]))
+	if len(starts) < 2 {
+		return 0, false
+	}
+	shortest := starts[1] - starts[0]
+	for n := range starts[1:] {
+		shortest = min(shortest, starts[n+1]-starts[n])
+	}
+	return time.Duration(shortest) * time.Millisecond, true
 }
 
 // Twice returns the keys and tokens that ran more than once.
@@ -65,6 +86,9 @@
 	}
 	if event.Key != "" {
 		addRuns(r.Keys, map[string]Run{event.Key: add})
+		if !event.Finished {
+			r.StartsMS[event.Key] = append(r.StartsMS[event.Key], event.AtMS)
+		}
 	}
 	if event.Token != "" {
 		addRuns(r.Tokens, map[string]Run{event.Token: add})
@@ -73,6 +97,7 @@
 
 // runEvent is one line of the run log.
 type runEvent struct {
+	AtMS     int64  `json:"at_ms"`
 	Key      string `json:"key,omitempty"`
 	Token    string `json:"token,omitempty"`
 	Finished bool   `json:"finished,omitempty"`
@@ -105,6 +130,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	event.AtMS = time.Now().UnixMilli()
 	l.runs.count(event)
 	if l.file == nil {
 		return nil
