Let probes of the soak wait for their deadline

Cause: the probes for versions used the client that asks for readiness, which gives up after 1 s. Requests have 1.5 s, and the check blames a stop for what ended before that. All other clients wait for 3 s, so no other request can end with the client's timeout before its deadline: the two whose paths are known (/version-7/1531, /version-1/828) are probes. A node that answers a slow request within its deadline during its stop was so blamed for a cut.

Now probes wait as long as the other callers; the check is unchanged. TestProbesWaitForTheirDeadline failed before with the same error and passes.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -88,11 +88,19 @@
 	return &callers{fleet: f, run: strconv.FormatUint(rand.Uint64(), 36), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
+// probeClient waits as long as the clients of the load.
+var probeClient = newClient(&http.Transport{DisableKeepAlives: true})
+
+// newClient returns a client that waits longer than the deadline of requests, by which nodes must have responded.
+func newClient(transport *http.Transport) *http.Client {
+	return &http.Client{Timeout: 2 * deadline, Transport: transport}
+}
+
 // drive sends requests to each node until the context ends, and waits for the responses.
 func (c *callers) drive(ctx context.Context) {
 	var tasks sync.WaitGroup
 	for _, h := range c.fleet.hosts {
-		client := &http.Client{Timeout: 2 * deadline, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+		client := newClient(&http.Transport{MaxIdleConnsPerHost: 8})
 		tasks.Go(func() { c.driveHost(ctx, h, client, &tasks) })
 	}
 	tasks.Wait()
@@ -143,7 +151,7 @@
 // driveCrashing sends the same crashing requests at random nodes of one service until the context ends. Each may be repeated or
 // may run once, in turn.
 func (c *callers) driveCrashing(ctx context.Context, count int) {
-	client := &http.Client{Timeout: 2 * deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newClient(&http.Transport{DisableKeepAlives: true})
 	rng := rand.New(rand.NewPCG(uint64(count), 4))
 	ticker := time.NewTicker(crashingPeriod)
 	defer ticker.Stop()
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -294,10 +294,10 @@
 	return nil
 }
 
-var probeClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var readyClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (f *fleet) ready(h *host) bool {
-	response, err := probeClient.Get("http://" + f.address(h.number, portAdmin) + "/ready")
+	response, err := readyClient.Get("http://" + f.address(h.number, portAdmin) + "/ready")
 	if err != nil {
 		return false
 	}
