Give each test process of nodes addresses of its own

Seen once in 240 runs of the spec on crashing requests, 60 at a time: the node did not become ready within 20 s. The spec dropped the error with which the node ended. Cause, not shown by that run: the loopback address of a test process was derived from pid/256 and pid%250, so that six of each 256 processes share the address and the ports of another one (pids 25600 and 25850, for example).

--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -60,7 +60,7 @@
 // at the same time do not share ports.
 func address() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 100+pid>>16&0x0f, pid>>8&0xff, 1+pid%250, 20000+lastPort.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:%d", 100+pid>>16&0x0f, pid>>8&0xff, pid&0xff, 20000+lastPort.Add(1))
 }
 
 func startServer(t *testing.T, s *httpserver.Server) string {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -39,7 +39,7 @@
 // port that was free on 127.0.0.1 may be taken by an outgoing connection before the node listens on it.
 func freeAddress() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid%250, 20000+lastPort.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff, 20000+lastPort.Add(1))
 }
 
 func newSettings(host, zone string, arguments ...string) *settings.Settings {
@@ -95,7 +95,9 @@
 	t := &testNode{Node: n, stopped: make(chan struct{}), stop: cancel}
 	go func() {
 		defer close(t.stopped)
-		_ = n.Run(ctx)
+		if err := n.Run(ctx); err != nil {
+			GinkgoWriter.Println("node ended:", err)
+		}
 	}()
 	DeferCleanup(func() {
 		cancel()
