Tell the ingress of a crash with the response

Callers saw more than two endpoints crash under one request when it was sent again at once: four of four in a fleet with published hosts, three on the users' platform while notices between nodes were lost.

Cause: the ingress that sent the request heard of the crash only by gossip, which its caller can overtake, although it had received the failure itself. It then sent the request as an ordinary one, and the next owner, which had not heard either, counted its crash as one that others may have shared. In fleets with published hosts an owner also ignored that the ingress knows a suspect.

Now the response to a request that crashed an endpoint, or that is refused for that, carries what the owner knows of its fingerprint, and the ingress takes it over; owners run what the ingress marks as a suspect alone. Same change on both paths.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -134,6 +134,9 @@
 	HeaderHopClass = HopPrefix + "Class"
 	// HeaderHopFingerprint holds a hash by which requests that crash backend servers are recognized.
 	HeaderHopFingerprint = HopPrefix + "Fingerprint"
+	// HeaderHopSuspect holds, in the response to a request that crashed an endpoint or is refused as one that does, the
+	// crashes known of its fingerprint.
+	HeaderHopSuspect = HopPrefix + "Suspect"
 	// HeaderHopLoad holds, in a response, the load of the endpoint.
 	HeaderHopLoad = HopPrefix + "Load"
 	// HeaderHopPriority holds the priority of the request among those of its service; lower values run first.
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -46,6 +46,8 @@
 
 func (s *fleetSuspects) Succeeded(string) {}
 
+func (s *fleetSuspects) Record(string) quarantine.Record { return quarantine.Record{} }
+
 func (s *fleetSuspects) Crashed(_ quarantine.CrashID, inFlight []suspects.InFlight) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -56,6 +56,8 @@
 	Crashed(crash quarantine.CrashID, inFlight []suspects.InFlight)
 	// Succeeded records that a request has succeeded.
 	Succeeded(fingerprint string)
+	// Record returns what is known of a fingerprint.
+	Record(fingerprint string) quarantine.Record
 }
 
 // Request is one attempt to run a request.
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -59,6 +60,7 @@
 			c.SetConnectionClose()
 		}
 		hop.WriteFailure(c, failure)
+		hop.WriteSuspect(c, failure, func() quarantine.Record { return d.options.Suspects.Record(request.Fingerprint) })
 		return
 	}
 	defer response.Close()
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -76,6 +76,8 @@
 type Suspects interface {
 	// Decide returns how a request may run.
 	Decide(fingerprint string) quarantine.Action
+	// Learn takes what the dispatcher on another host knows of a fingerprint.
+	Learn(record quarantine.Record)
 }
 
 // Options are the settings and dependencies of a forwarder.
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -145,6 +145,13 @@
 	if reported == outcome.Answered {
 		return response, nil
 	}
+	record, err := hop.ReadSuspect(header, meta)
+	if err != nil {
+		f.options.Logger.Warn("unreadable record of a suspect", "peer", p.host, "error", err)
+	}
+	if record != nil {
+		f.options.Suspects.Learn(*record)
+	}
 	failure := &outcome.Error{
 		Outcome: reported, Reason: outcome.Reason(header.Get(outcome.HeaderReason)), Status: response.Head.StatusCode(),
 		Step: stepSend, Peer: p.host,
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -1,13 +1,16 @@
 package hop_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/onsi/gomega"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/hop"
 )
 
@@ -31,6 +34,22 @@
 	g.Expect(got.MaxWait).To(gomega.BeZero())
 }
 
+// Guards against records of suspects that are lost on the hop, and against those of another request being learned.
+func TestRecordOfASuspectSurvivesItsHeader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := quarantine.Record{Fingerprint: "f", Service: "desk", Crashes: []quarantine.Crash{{
+		CrashID: quarantine.CrashID{Endpoint: "e1", Incarnation: 7}, Alone: true, AgeMS: 12,
+	}}}
+	crashed := outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonBackendCrash, "dispatch", "e1", nil)
+	var c app.RequestContext
+	hop.WriteSuspect(&c, crashed, func() quarantine.Record { return sent })
+	got, err := hop.ReadSuspect(&c.Response.Header, &hop.Meta{Fingerprint: "f"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*got).To(gomega.Equal(sent))
+	_, err = hop.ReadSuspect(&c.Response.Header, &hop.Meta{Fingerprint: "other"})
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(outcome.HeaderHopSuspect)))
+}
+
 // Guards against a malformed maximum wait that is read as none: the request would wait in the queue of a busy owner instead
 // of being refused.
 func TestMalformedWaitIsRefused(t *testing.T) {
--- a/pkg/hop/server.go
+++ b/pkg/hop/server.go
@@ -1,9 +1,14 @@
 package hop
 
 import (
+	"encoding/json"
+	"fmt"
+
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 )
 
 // EchoAttempt sets the ids of the request and the attempt in the response, so that the ingress can detect a response that
@@ -22,3 +27,30 @@
 		c.Response.Header.Set(outcome.HeaderRecorded, failure.Recorded)
 	}
 }
+
+// WriteSuspect adds what is known of the crashes of a request to the response if the failure is due to them. The ingress then
+// knows it before the caller can send the request again.
+func WriteSuspect(c *app.RequestContext, failure *outcome.Error, record func() quarantine.Record) {
+	if failure.Reason != outcome.ReasonBackendCrash && failure.Reason != outcome.ReasonQuarantined {
+		return
+	}
+	// Encoding cannot fail: a record holds texts, numbers and flags.
+	text, _ := json.Marshal(record())
+	c.Response.Header.Set(outcome.HeaderHopSuspect, string(text))
+}
+
+// ReadSuspect returns the record that WriteSuspect has added to the response to an attempt, or nil if there is none.
+func ReadSuspect(h *protocol.ResponseHeader, m *Meta) (*quarantine.Record, error) {
+	text := h.Get(outcome.HeaderHopSuspect)
+	if text == "" {
+		return nil, nil
+	}
+	var record quarantine.Record
+	if err := json.Unmarshal([]byte(text), &record); err != nil {
+		return nil, fmt.Errorf("parse header %s: %w", outcome.HeaderHopSuspect, err)
+	}
+	if record.Fingerprint != m.Fingerprint {
+		return nil, fmt.Errorf("header %s is about fingerprint %q instead of %q", outcome.HeaderHopSuspect, record.Fingerprint, m.Fingerprint)
+	}
+	return &record, nil
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -38,6 +38,8 @@
 // the IDs of the available endpoints of the service.
 type Suspects interface {
 	Decide(service, fingerprint string, available func() []string) quarantine.Decision
+	// Learn takes what an owner knows of a fingerprint.
+	Learn(record quarantine.Record)
 }
 
 // Options are the settings and collaborators of an Ingress. Host and Zone are those of this node. Config returns the
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/hop"
@@ -40,6 +42,7 @@
 		Route:       r.route.ID,
 		Key:         r.key,
 		Fingerprint: r.fingerprint,
+		Suspect:     p.reason == reasonSuspect,
 		Repeatable:  r.route.Repeatable,
 		Long:        r.long,
 		MaxWait:     p.maxWait,
@@ -156,6 +159,7 @@
 	if reported == outcome.Answered {
 		return response, nil
 	}
+	i.learnSuspect(p, meta, header)
 	failure := &outcome.Error{
 		Outcome:  reported,
 		Reason:   outcome.Reason(header.Get(outcome.HeaderReason)),
@@ -172,6 +176,20 @@
 	return nil, failure
 }
 
+// learnSuspect takes what the owner knows of the crashes of the request.
+func (i *Ingress) learnSuspect(p *pick, meta *hop.Meta, header *protocol.ResponseHeader) {
+	if i.options.Suspects == nil {
+		return
+	}
+	record, err := hop.ReadSuspect(header, meta)
+	if err != nil {
+		i.options.Logger.Warn("unreadable record of a suspect", "peer", p.entry.host.ID, "error", err)
+	}
+	if record != nil {
+		i.options.Suspects.Learn(*record)
+	}
+}
+
 // exchangeFailed returns the failure for an attempt that ended without a response from the owner, and counts it.
 func (i *Ingress) exchangeFailed(ctx context.Context, p *pick, meta *hop.Meta, err error) *outcome.Error {
 	failure := i.classifyFailure(ctx, p, meta, err)
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -227,7 +227,11 @@
 	onSuspect func()
 }
 
-const reasonProbe = "probe"
+// Reasons of a choice that the attempt depends on.
+const (
+	reasonProbe   = "probe"
+	reasonSuspect = "suspect-request"
+)
 
 // choose chooses an endpoint for an attempt and counts the attempt as started. It returns nil if there is none. If
 // onlyEndpoint is not empty, only that endpoint is considered. If mayRefuseBusy is set, the owner may be allowed to refuse
@@ -253,7 +257,7 @@
 // chooseEntry returns the chosen entry and the reason for the choice, or nil and the reason why there is none.
 func (v *view) chooseEntry(r *request, tried map[string]bool, onlyEndpoint string) (*entry, string) {
 	if onlyEndpoint != "" {
-		return v.usable(onlyEndpoint, tried), "suspect-request"
+		return v.usable(onlyEndpoint, tried), reasonSuspect
 	}
 	if r.route.Repeatable && !r.long && len(tried) == 0 {
 		if id, due := v.detector.ReserveNextProbe(v.now()); due {
--- a/pkg/node/crash_test.go
+++ b/pkg/node/crash_test.go
@@ -40,7 +40,7 @@
 // Guards against a request that takes down one backend server after the other while its caller sends it again, and
 // against innocent requests that are refused because they shared a backend server with it.
 var _ = Describe("a request that crashes backend servers", func() {
-	It("costs at most two of them, and others are served", func() {
+	DescribeTable("costs at most two of them, and others are served", func(othersBetween int) {
 		var backends []*crashingBackend
 		urls := startService(1, 0, func() string {
 			backend := newCrashingBackend()
@@ -65,12 +65,15 @@
 		var reason string
 		for range 10 {
 			_, reason = get("/poison")
-			for n := range 10 {
+			for n := range othersBetween {
 				status, _ := get(fmt.Sprintf("/innocent/%d", n))
 				Expect(status).To(Equal(http.StatusOK))
 			}
 		}
 		Expect(crashed()).To(Equal(2))
 		Expect(reason).To(Equal(string(outcome.ReasonQuarantined)))
-	})
+	},
+		Entry("when other requests are sent in between", 10),
+		Entry("when its caller sends it again at once", 0),
+	)
 })
--- a/pkg/node/news.go
+++ b/pkg/node/news.go
@@ -52,7 +52,7 @@
 		n.logger.Warn("decode fingerprint news", "origin", item.Origin, "error", err)
 		return
 	}
-	n.suspects.merge(record)
+	n.suspects.Learn(record)
 }
 
 // publish sends news to the other nodes.
--- a/pkg/node/suspects.go
+++ b/pkg/node/suspects.go
@@ -107,8 +107,19 @@
 	}
 }
 
-// merge takes a record of another node.
-func (s *suspects) merge(record quarantine.Record) {
+// Record implements owner.Quarantine.
+func (s *suspects) Record(service, fingerprint string) quarantine.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store := s.stores[service]
+	if store == nil {
+		return quarantine.Record{Fingerprint: fingerprint}
+	}
+	return store.Record(fingerprint, s.clock.Now())
+}
+
+// Learn takes a record of another node. It implements ingress.Suspects.
+func (s *suspects) Learn(record quarantine.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if store := s.stores[record.Service]; store != nil {
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -166,7 +166,8 @@
 	case PlaceAlone:
 		return true, nil
 	default:
-		return false, nil
+		// The ingress may know of a crash before this node does.
+		return r.Suspect, nil
 	}
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
@@ -53,6 +54,8 @@
 	Place(service, fingerprint string) Placement
 	Crashed(service, fingerprint string, crash Crash)
 	Succeeded(service, fingerprint string)
+	// Record returns what is known of a fingerprint.
+	Record(service, fingerprint string) quarantine.Record
 }
 
 // Crash is a crash of a backend server while a request was in flight there.
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -51,6 +52,9 @@
 			c.SetConnectionClose()
 		}
 		hop.WriteFailure(c, failure)
+		if known := o.options.Quarantine; known != nil {
+			hop.WriteSuspect(c, failure, func() quarantine.Record { return known.Record(request.Service, request.Fingerprint) })
+		}
 		return
 	}
 	defer response.Close()
--- a/pkg/suspects/suspects.go
+++ b/pkg/suspects/suspects.go
@@ -226,11 +226,29 @@
 		s.options.Logger.Warn("unreadable quarantine notice", "from", ip, "error", err)
 		return
 	}
-	var reply, joined, refused []quarantine.Record
+	s.send(s.learn(records), func(notice []byte) { s.options.Network.SendTo(ip, notice) })
+}
+
+// Learn takes a record that the dispatcher on another host has added to a response.
+func (s *Service) Learn(record quarantine.Record) {
+	s.learn([]quarantine.Record{record})
+}
+
+// Record returns what is known of a fingerprint.
+func (s *Service) Record(fingerprint string) quarantine.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.Record(fingerprint, s.options.Clock.Now())
+}
+
+// learn takes records of another node and passes on what further nodes should hear of. It returns the records that the other
+// node lacks.
+func (s *Service) learn(records []quarantine.Record) (lacking []quarantine.Record) {
+	var joined, refused []quarantine.Record
 	s.mu.Lock()
 	for _, r := range records {
 		if mine, lacks := s.store.Missing(r, s.options.Clock.Now()); lacks {
-			reply = append(reply, mine)
+			lacking = append(lacking, mine)
 		}
 		switch union, learned := s.merge(r); learned {
 		case learnedCrashes:
@@ -240,11 +258,11 @@
 		}
 	}
 	s.mu.Unlock()
-	s.send(reply, func(notice []byte) { s.options.Network.SendTo(ip, notice) })
 	s.send(joined, s.options.Network.Broadcast)
 	for range relayFanout {
 		s.send(refused, s.options.Network.SendNext)
 	}
+	return lacking
 }
 
 // learned says what a record of another node has shown that further nodes should hear of.
