Report a crash to its caller when the news have spread

Cause: news of a crash spread in rounds of 10 ms, and the failure was reported at once, so that its caller could overtake them. Now the owner reports it 60 ms later, six rounds, in which news reach 4,096 nodes. That concerns only requests that were in flight at a crash.

--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -56,6 +56,8 @@
 }
 
 const (
+	// newsSpreadTime is the time in which news reach all nodes: 4,096 nodes are reached in six rounds of 10 ms.
+	newsSpreadTime        = 60 * time.Millisecond
 	backendConnectTimeout = 500 * time.Millisecond
 	backendIdleTimeout    = 30 * time.Second
 	backendMaxIdle        = 64
@@ -399,16 +401,23 @@
 	case ctx.Err() != nil:
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonCancelled, stepDispatch, e.id, err)
 	case e.crashed():
-		e.suspect(r)
+		e.suspect(ctx, r)
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonBackendCrash, stepDispatch, e.id, err)
 	default:
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
 	}
 }
 
-func (e *endpoint) suspect(r *Request) {
-	if e.owner.options.Quarantine != nil {
-		e.owner.options.Quarantine.Crashed(r.Service, r.Fingerprint, Crash{Endpoint: e.id, Incarnation: r.run, Alone: r.alone})
+// suspect reports a request that was in flight at a crash, and returns when the news have spread: callers that get the failure
+// may send the request again at once, through any node.
+func (e *endpoint) suspect(ctx context.Context, r *Request) {
+	if e.owner.options.Quarantine == nil {
+		return
+	}
+	e.owner.options.Quarantine.Crashed(r.Service, r.Fingerprint, Crash{Endpoint: e.id, Incarnation: r.run, Alone: r.alone})
+	select {
+	case <-time.After(newsSpreadTime):
+	case <-ctx.Done():
 	}
 }
 
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/attempts"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -96,17 +97,26 @@
 }
 
 func newFixture(t cleaner, claims owner.Claimer, slots int) *fixture {
+	return newFixtureWith(t, owner.Options{Claims: claims}, slots, nil)
+}
+
+// newFixtureWith starts an owner with the given options and a backend server, on which crash, if it is not nil, is called when a
+// request for /crash runs.
+func newFixtureWith(t cleaner, options owner.Options, slots int, crash func(*httptest.Server)) *fixture {
 	f := &fixture{clock: &fakeClock{}}
-	backend := httptest.NewServer(http.HandlerFunc(f.backend))
+	var backend *httptest.Server
+	backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/crash" && crash != nil {
+			crash(backend)
+			panic(http.ErrAbortHandler)
+		}
+		f.backend(w, r)
+	}))
 	t.Cleanup(backend.Close)
-	f.owner = owner.New(owner.Options{
-		Host:      "h1",
-		Backends:  map[string]string{"e1": backend.Listener.Addr().String()},
-		Claims:    claims,
-		Decisions: decision.NewRecorder(quietLog(t), decision.DefaultCapacity),
-		Clock:     f.clock,
-		Fresh:     func() bool { return true },
-	})
+	options.Host, options.Backends = "h1", map[string]string{"e1": backend.Listener.Addr().String()}
+	options.Decisions, options.Clock = decision.NewRecorder(quietLog(t), decision.DefaultCapacity), f.clock
+	options.Fresh = func() bool { return true }
+	f.owner = owner.New(options)
 	f.owner.Open()
 	f.owner.Update(config.NewSnapshot(&config.Document{
 		Hosts:    []config.Host{{ID: "h1", Address: "127.0.0.1"}},
@@ -145,6 +155,31 @@
 	g.Expect(f.count("/late")).To(gomega.BeZero())
 }
 
+// crashWatch notes when crashes are reported and suspects nothing.
+type crashWatch struct{ reported atomic.Int64 }
+
+func (w *crashWatch) Place(string, string) owner.Placement { return owner.PlaceNormally }
+func (w *crashWatch) Crashed(string, string, owner.Crash)  { w.reported.Store(time.Now().UnixNano()) }
+func (w *crashWatch) Succeeded(string, string)             {}
+func (w *crashWatch) Record(string, string) quarantine.Record {
+	return quarantine.Record{}
+}
+
+// Guards against callers that send a crashing request again, through another node, before that one has heard of the crash.
+func TestCrashIsAnsweredAfterItsNewsHaveSpread(t *testing.T) {
+	const spread = 50 * time.Millisecond
+	g := gomega.NewWithT(t)
+	watch := &crashWatch{}
+	f := newFixtureWith(t, owner.Options{Quarantine: watch}, 3, func(server *httptest.Server) {
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	})
+	failure := f.do("a1", "/crash", true)
+	answered := time.Now()
+	g.Expect(failure.Reason).To(gomega.Equal(outcome.ReasonBackendCrash))
+	g.Expect(answered.Sub(time.Unix(0, watch.reported.Load()))).To(gomega.BeNumerically(">=", spread))
+}
+
 // Guards against a paused process that dispatches a request on what it believed before the pause.
 func TestRequestIsNotDispatchedAfterPauseDuringClaim(t *testing.T) {
 	g := gomega.NewWithT(t)
