Count a stalled request as no start of a request

Trace: reports of the five endpoints that got nothing between 6 and 8 s. At 5.50 s one reported a start 50 ms before, though nothing had been sent to it since 4.65 s: a request that was still running had been observed to stall. Each of several such requests put off the next probe by 1.2 s.

Now only a start counts as one.

--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -87,8 +87,8 @@
 	// of each route.
 	meanTime   time.Duration
 	routeTimes map[string]time.Duration
-	// lastOutcome is the time of the latest outcome, and lastStart that of the latest start of a request or observation of a
-	// stall. They are valid if hasOutcome is set.
+	// lastOutcome is the time of the latest outcome or stall, and lastStart that of the latest start of a request. They are valid
+	// if hasOutcome is set.
 	lastOutcome, lastStart time.Duration
 	hasOutcome             bool
 	// determining is held while the cause of a lost connection is determined.
@@ -448,7 +448,7 @@
 		if !r.stalled && now-r.begin > r.limit {
 			r.stalled, stalled = true, true
 			e.filter.Observe(now, faultfilter.Stalled)
-			e.lastOutcome, e.lastStart, e.hasOutcome = now, now, true
+			e.lastOutcome, e.hasOutcome = now, true
 		}
 	}
 	e.refuseIfSuspect(now)
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -24,8 +24,7 @@
 	Slots  int `json:"s"`
 	// ServiceTimeMS is the mean processing time of a request, in milliseconds, or 0 if it is not known.
 	ServiceTimeMS int `json:"m,omitempty"`
-	// StartAgeMS is the time since the latest request began or was observed to stall, in milliseconds, or negative if none has
-	// ended.
+	// StartAgeMS is the time since the latest request began, in milliseconds, or negative if none has ended or stalled.
 	StartAgeMS int `json:"o"`
 }
 
