Log what endpoints announce in their responses

The responses of an endpoint may name a limit on its requests (Server-Limit) and that it is leaving (Server-Leaving). No line of the nodes showed either, so that the hypotheses of the limit incident could not be told apart. The dispatcher now reads both from every response that it attributes to a request, keeps them in core/announce and logs each change as a decision (step announcement); two gauges count the endpoints concerned. Nothing acts on them yet.

core/announce decides which response may change what: one to a request that was sent before the current limit was announced may lower it, but neither raise nor end it; leaving is final for an incarnation; what is no decimal number neither sets nor ends a limit and is logged once for an endpoint.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -17,4 +17,8 @@
 	// CallerService is the service whose endpoint shares the host of the node that received the request from its
 	// caller.
 	CallerService string
+	// Limit is set by an endpoint in its responses to the number of requests per second that it takes from all nodes together.
+	Limit string
+	// Leaving is set by an endpoint in its responses once it is leaving.
+	Leaving string
 }
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -21,6 +21,7 @@
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/announcements"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/dialect"
@@ -62,11 +63,15 @@
 	}
 	listed := &registry.Endpoint{Entry: registry.Entry{ID: "e1", Service: "desk", Address: backend, Slots: slots}}
 	view := &registry.View{ByID: map[string]*registry.Endpoint{"e1": listed}}
+	recorder, logger, steady := decision.NewRecorder(log, 16), slog.New(slog.DiscardHandler), clock.NewBootTime()
+	announced := announcements.New(announcements.Options{
+		Clock: steady, Decisions: recorder, Logger: logger, View: func() *registry.View { return view },
+	})
 	return dispatch.New(dispatch.Options{
-		Backend: backend, Clock: clock.NewBootTime(), Decisions: decision.NewRecorder(log, 16), Logger: slog.New(slog.DiscardHandler),
+		Backend: backend, Clock: steady, Decisions: recorder, Logger: logger, Announcements: announced,
 		Headers: dialect.Headers{
 			RequestID: "Test-Request-Id", DeadlineMS: "Test-Deadline", Signature: "Test-Signature", TargetInstance: "Test-Target",
-			NotRun: "Test-Not-Run", CallerService: "Test-Caller",
+			NotRun: "Test-Not-Run", CallerService: "Test-Caller", Limit: "Test-Limit", Leaving: "Test-Leaving",
 		},
 		View:       func() *registry.View { return view },
 		PeerMedian: func(string, string) (reports.Endpoint, bool) { return reports.Endpoint{}, false }, ConditionChanged: func() {}, Suspects: known,
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
@@ -46,6 +47,14 @@
 	// ConditionChanged is called when an endpoint's condition should be reported to the other nodes at once.
 	ConditionChanged func()
 	Suspects         Suspects
+	Announcements    Announcements
+}
+
+// Announcements holds what endpoints have announced in their responses. *announcements.Service implements it.
+type Announcements interface {
+	// Observe records a response of an endpoint on this host to a request that was sent at sentAt. It reports whether the other
+	// nodes should be told of a change.
+	Observe(id string, response announce.Response, sentAt time.Duration) bool
 }
 
 // Suspects knows the requests that may crash endpoints. *suspects.Service implements it.
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
@@ -88,6 +89,9 @@
 	signed := response.Head.Header.Get(names.Signature) != ""
 	anonymous := response.Head.Header.Get(names.RequestID) == ""
 	rejection := response.Head.Header.Get(names.NotRun) != "" || status == http.StatusMisdirectedRequest
+	if status != http.StatusMisdirectedRequest && !(anonymous && response.Reused()) {
+		e.observeAnnouncements(response, signed || rejection, begin)
+	}
 	switch {
 	case rejection && anonymous && response.Reused():
 		// It may be the late rejection of an earlier request on the same connection.
@@ -111,6 +115,19 @@
 	return response, nil
 }
 
+// observeAnnouncements records what the endpoint announces in a response to a request that was sent at begin. A response that
+// is not trusted can announce something, but its silence does not end a limit.
+func (e *endpoint) observeAnnouncements(response *transport.Response, trusted bool, begin time.Duration) {
+	names, header := e.dispatcher.options.Headers, &response.Head.Header
+	announced := announce.ReadResponse(header.GetAll(names.Limit), header.GetAll(names.Leaving))
+	if !trusted && announced.Empty() {
+		return
+	}
+	if e.dispatcher.options.Announcements.Observe(e.id, announced, begin) {
+		e.dispatcher.options.ConditionChanged()
+	}
+}
+
 // finish records the outcome of an answer whose body has ended or was aborted, and releases the slot.
 func (e *endpoint) finish(r *Request, response *transport.Response, status int, begin time.Duration) {
 	served := e.dispatcher.now() - begin
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -16,6 +16,7 @@
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/admin"
+	"agatepulley.example/agatepulley/pkg/announcements"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/dialect"
@@ -39,6 +40,7 @@
 	servicePeers      = "peer.network"
 	serviceReports    = "peer.reports"
 	serviceSuspects   = "suspects"
+	serviceAnnounced  = "announcements"
 	serviceDiscovery  = "discovery"
 	serviceDispatcher = "dispatcher"
 	serviceForwarder  = "forwarder"
@@ -74,11 +76,14 @@
 	kernel      *kernel.Kernel
 	life        *lifecycle.Machine
 
-	telemetry  *telemetry.Telemetry
-	decisions  *decision.Recorder
-	peers      *peer.Service
-	reports    *reports.Service
-	suspects   *suspects.Service
+	telemetry *telemetry.Telemetry
+	decisions *decision.Recorder
+	peers     *peer.Service
+	reports   *reports.Service
+	suspects  *suspects.Service
+	// announcements holds what endpoints have announced in their responses.
+	announcements *announcements.Service
+
 	discovery  *discovery.Service
 	dispatcher *dispatch.Dispatcher
 	forwarder  *forward.Forwarder
@@ -123,10 +128,13 @@
 		FirstStart:    s.FirstStart,
 		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
 	})
+	m.announcements = announcements.New(announcements.Options{
+		Clock: m.clock, Decisions: m.decisions, Logger: m.logger, View: m.discovery.View,
+	})
 	m.dispatcher = dispatch.New(dispatch.Options{
 		Backend: s.BackendAddress, Headers: platform.Headers, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
 		View: m.discovery.View, PeerMedian: m.medianCondition, ConditionChanged: m.reports.Notify,
-		Suspects: m.suspects,
+		Suspects: m.suspects, Announcements: m.announcements,
 	})
 	m.forwarder = m.newForwarder(s, platform)
 	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
@@ -168,6 +176,7 @@
 		{servicePeers, m.peers},
 		{serviceReports, m.reports},
 		{serviceSuspects, m.suspects},
+		{serviceAnnounced, m.announcements},
 		{serviceDispatcher, m.dispatcher},
 		{serviceForwarder, m.forwarder},
 		{serviceDiscovery, m.discovery},
@@ -242,6 +251,7 @@
 		zones[ip] = endpoints[0].Zone
 	}
 	m.reports.SetHosts(zones)
+	m.announcements.Update(view)
 	m.dispatcher.Update(view)
 	m.notifyPeers(source)
 }
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -94,6 +94,14 @@
 		metrics.ObserveGauge("agatepulley_quarantined_requests", "Fingerprints of requests that are refused because they crash endpoints.", func() float64 {
 			return float64(m.suspects.Refused())
 		}),
+		metrics.ObserveGauge("agatepulley_limited_endpoints", "Endpoints that limit the rate of their requests by an announcement in their responses.", func() float64 {
+			limited, _ := m.announcements.Counts()
+			return float64(limited)
+		}),
+		metrics.ObserveGauge("agatepulley_leaving_endpoints", "Endpoints that have announced in their responses that they are leaving.", func() float64 {
+			_, leaving := m.announcements.Counts()
+			return float64(leaving)
+		}),
 		metrics.ObserveGauge("agatepulley_panics", "Panics that were recovered.", func() float64 {
 			return float64(guard.Panics())
 		}),
