Reproduce the limit incident in tests that fail

The bounds are those of the users' rules. The stand-in endpoint can now announce both, and the soak does so at random.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -70,7 +70,9 @@
 	text      string
 	echoed    string
 	signature string
-	err       error
+	// limited and leaving are set if the response says so of the endpoint.
+	limited, leaving bool
+	err              error
 }
 
 // callers sends the load and keeps what came back.
@@ -223,6 +225,7 @@
 	text, err := io.ReadAll(response.Body)
 	c.finish(r, func() {
 		r.begun, r.status, r.text, r.err = true, response.StatusCode, string(text), err
+		r.limited, r.leaving = response.Header.Get(names.Limit) != "", response.Header.Get(names.Leaving) != ""
 		r.echoed, r.signature = response.Header.Get(names.RequestID), response.Header.Get(names.Signature)
 	})
 }
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -34,6 +34,9 @@
 	badStops     []badStop
 	published    map[int]time.Time
 	services     func(host int, at time.Time) []string
+	limits       []announcedLimit
+	// arrivals are the requests that have reached each endpoint.
+	arrivals map[string][]platformtest.Arrival
 }
 
 // violations returns each broken guarantee.
@@ -56,6 +59,7 @@
 		}
 	}
 	found = append(found, r.crashesPastProof()...)
+	found = append(found, r.beyondAnnouncements()...)
 	slices.Sort(found)
 	return append(append(found, r.regressions()...), r.failedStops()...)
 }
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,8 @@
 	stopLimit = 6500 * time.Millisecond
 	slowStore = 300 * time.Millisecond
 	delayMS   = 40
+	// restartPeriod is the time between two kills of nodes beside endpoints that announce something.
+	restartPeriod = 1200 * time.Millisecond
 )
 
 // everyone stands for all hosts in a disturbance.
@@ -69,6 +72,7 @@
 	mu           sync.Mutex
 	disturbances []*disturbance
 	departures   []departure
+	limits       []announcedLimit
 	published    map[int]time.Time
 	version      int
 	// busy holds the hosts whose process or endpoint a fault is working on.
@@ -163,6 +167,8 @@
 	{"endpoint misbehaves", "endpoint", (*faults).misbehave},
 	{"endpoint leaves", "endpoint", (*faults).replace},
 	{"endpoint crashes", "endpoint", (*faults).crash},
+	{"endpoint announces a limit", "endpoint", func(x *faults, h *host, hold time.Duration, v int) { x.limit(h, float64(v%limitKinds)/2, hold+inTouch) }},
+	{"endpoint announces that it leaves", "endpoint", (*faults).leaveByResponses},
 	{"configuration", "configuration", func(x *faults, _ *host, _ time.Duration, _ int) { x.publish() }},
 }
 
@@ -326,6 +332,55 @@
 	x.fail(x.fleet.startEndpoint(h))
 }
 
+// limitKinds is the number of limits that are drawn, from 0 in steps of half a request per second.
+const limitKinds = 12
+
+// limit lets an endpoint announce a limit in its responses for a time.
+func (x *faults) limit(h *host, perSecond float64, hold time.Duration) {
+	e := h.endpoint
+	defer x.begin(h.number, false, fmt.Sprintf("endpoint announces a limit of %v", perSecond))()
+	x.mu.Lock()
+	x.limits = append(x.limits, announcedLimit{endpoint: e.ID, perSecond: perSecond, from: time.Now()})
+	at := len(x.limits) - 1
+	x.mu.Unlock()
+	e.Announce(strconv.FormatFloat(perSecond, 'f', -1, 64), false)
+	time.Sleep(hold)
+	e.Announce("", false)
+	x.mu.Lock()
+	x.limits[at].to = time.Now()
+	x.mu.Unlock()
+}
+
+// leaveByResponses lets an endpoint say only in its responses that it leaves, and starts another one later.
+func (x *faults) leaveByResponses(h *host, hold time.Duration, _ int) {
+	defer x.begin(h.number, false, "endpoint announces that it leaves")()
+	leaving := h.endpoint
+	leaving.Announce("", true)
+	time.Sleep(hold + 2*drainTime)
+	leaving.Deregister()
+	leaving.Close()
+	x.fail(x.fleet.startEndpoint(h))
+}
+
+// announce plays the announcements of a plan until the context ends.
+func (x *faults) announce(ctx context.Context, plan Plan) {
+	hosts := x.fleet.hostsOf(serviceDesk)
+	for n, perSecond := range plan.Limits {
+		x.tasks.Go(func() { x.limit(hosts[n], perSecond, plan.Duration) })
+	}
+	if plan.Leaving {
+		hosts[len(plan.Limits)].endpoint.Announce("", true)
+	}
+	for n := 0; plan.RestartBeside && ctx.Err() == nil; n++ {
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartPeriod):
+			x.kill(hosts[n%(len(plan.Limits)+1)], minFault, 0)
+		}
+	}
+	x.tasks.Wait()
+}
+
 // crashedByRequest describes the disturbance of an endpoint, not of its host, by a crashing request.
 const crashedByRequest = "request crashes endpoint"
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/bench/processes"
+	"agatepulley.example/agatepulley/platform/platformtest"
 )
 
 // Plan is what a run plays.
@@ -20,6 +21,12 @@
 	Duration time.Duration
 	// CrashingRequests is the number of requests that crash each endpoint that runs them. They are sent again and again.
 	CrashingRequests int
+	// Limits are limits, in requests per second, that as many endpoints announce in their responses. If Leaving is set, another
+	// endpoint announces that it is leaving, and its entry stays as it is.
+	Limits  []float64
+	Leaving bool
+	// RestartBeside kills the nodes beside these endpoints in turn.
+	RestartBeside bool
 	// NoOtherFaults leaves out all other faults.
 	NoOtherFaults bool
 }
@@ -100,6 +107,7 @@
 	if plan.CrashingRequests > 0 {
 		tasks.Go(func() { c.driveCrashing(striking, plan.CrashingRequests) })
 	}
+	tasks.Go(func() { x.announce(striking, plan) })
 	if plan.NoOtherFaults {
 		<-striking.Done()
 	} else {
@@ -179,12 +187,13 @@
 	r := &record{
 		requests: c.all, runs: make(map[string][]run), disturbances: x.disturbances, departures: x.departures,
 		badStops:  x.badStops,
-		published: x.published, services: f.servicesAt,
+		published: x.published, services: f.servicesAt, limits: x.limits, arrivals: make(map[string][]platformtest.Arrival),
 	}
 	for _, e := range f.allEndpoints() {
 		for _, one := range e.Runs() {
 			r.runs[one.ID] = append(r.runs[one.ID], run{Run: one, endpoint: e})
 		}
+		r.arrivals[e.ID] = e.Arrivals()
 	}
 	outcome := &Outcome{Plan: plan, Requests: len(c.all), Versions: x.version, Faults: len(x.disturbances)}
 	for _, s := range c.all {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -83,3 +83,38 @@
 	// Each of the two may crash three endpoints until it is known.
 	g.Expect(outcome.Crashes).To(gomega.BeNumerically("<=", 6))
 }
+
+// play runs a plan and returns what it showed.
+func play(t *testing.T, plan soak.Plan) *soak.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+	defer cancel()
+	var faults strings.Builder
+	outcome, err := soak.Play(ctx, plan, binaries, t.TempDir(), &faults)
+	if err != nil {
+		t.Fatal(err, faults.String())
+	}
+	t.Log(outcome)
+	return outcome
+}
+
+// Guards against more requests to an endpoint than the limit that it announces in its responses.
+func TestAnnouncedLimitIsKept(t *testing.T) {
+	for name, plan := range map[string]soak.Plan{
+		"two limited":              {Seed: 1, Hosts: 9, Duration: 9 * time.Second, Limits: []float64{2.4, 1}},
+		"nodes beside are killed":  {Seed: 2, Hosts: 9, Duration: 9 * time.Second, Limits: []float64{2.4, 1}, RestartBeside: true},
+		"limits at and close to 0": {Seed: 3, Hosts: 9, Duration: 9 * time.Second, Limits: []float64{0, 0.3}},
+		"all limited":              {Seed: 4, Hosts: 9, Duration: 9 * time.Second, Limits: []float64{3, 3, 3, 3, 3, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			plan.NoOtherFaults = true
+			gomega.NewWithT(t).Expect(play(t, plan).Violations).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// Guards against requests to an endpoint that says only in its responses that it leaves.
+func TestEndpointLeavingByItsResponsesIsLeft(t *testing.T) {
+	plan := soak.Plan{Seed: 5, Hosts: 6, Duration: 6 * time.Second, Leaving: true, RestartBeside: true, NoOtherFaults: true}
+	gomega.NewWithT(t).Expect(play(t, plan).Violations).To(gomega.BeEmpty())
+}
