Keep the limits that endpoints announce in their responses

Cause: no code read the announcement.

All requests to an endpoint pass the dispatcher on its host, so the limit is kept there and needs no messages: core/pacing gives credit at the announced rate, core/admission starts a request only with credit, in the order of priorities, and refuses at once, as limited, what would wait beyond its deadline. Dispatchers report limit and credit, behind the report proper, so that nodes of earlier releases can read the rest. Forwarders take the credit for free slots and the wait for a cost, and refuse at once if the limits of all endpoints leave no time before the deadline; Retry-After then begins when there is room. A refusal of a dispatcher is no evidence against the endpoint and is not charged to the retry budget.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"agatepulley.example/agatepulley/core/pacing"
 )
 
 // Settings define the limits of an endpoint and its queue.
@@ -64,6 +66,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonBusy means that the request would wait longer than its MaxWait.
 	ReasonBusy Reason = "busy"
+	// ReasonLimited means that the request would wait too long because of the endpoint's limit on the rate of requests.
+	ReasonLimited Reason = "limited"
 	// ReasonLeaving means that the queue is draining.
 	ReasonLeaving Reason = "leaving"
 	// ReasonRepeated means that a request with the same ID runs or is queued.
@@ -122,7 +126,9 @@
 	meanShort time.Duration
 	meanLong  time.Duration
 	// longBusy is the number of running long requests.
-	longBusy         int
+	longBusy int
+	// pacer limits the rate at which requests are started.
+	pacer            pacing.Pacer
 	exclusiveRunning bool
 	draining         bool
 	// While holding is set, until holdUntil, only exclusive requests are started. No hold begins before gapUntil.
@@ -150,6 +156,22 @@
 	q.settings.Slots = max(slots, 1)
 }
 
+// SetLimit limits the rate at which requests are started, in requests per second.
+func (q *Queue) SetLimit(now time.Duration, limit float64) {
+	q.pacer.SetLimit(now, limit)
+}
+
+// Unlimit ends the limit on the rate.
+func (q *Queue) Unlimit() {
+	q.pacer.Unlimit()
+}
+
+// Credit returns the number of further requests that the limit on the rate lets start now. It is negative if more requests
+// wait than may start, and valid only if there is a limit.
+func (q *Queue) Credit(now time.Duration) float64 {
+	return q.pacer.Credit(now) - float64(q.queued())
+}
+
 // Drain makes the queue refuse new requests. Queued ones still run.
 func (q *Queue) Drain() {
 	q.draining = true
@@ -175,15 +197,21 @@
 		q.start(now, item)
 		return Decision{Verdict: Run}
 	}
-	wait := q.expectedWait(now, item)
-	if item.MaxWait > 0 && wait > item.MaxWait {
-		return Decision{Verdict: Refused, Reason: ReasonBusy, Wait: wait}
-	}
-	if q.full(item) {
-		return Decision{Verdict: Refused, Reason: ReasonFull, Wait: wait}
-	}
-	if now+wait+q.mean(item.Long) > item.Deadline {
-		return Decision{Verdict: Refused, Reason: ReasonDeadline, Wait: wait}
+	wait, paced := q.expectedWait(now, item)
+	reason := ReasonNone
+	switch {
+	case item.MaxWait > 0 && wait > item.MaxWait:
+		reason = ReasonBusy
+	case q.full(item):
+		reason = ReasonFull
+	case now+wait+q.mean(item.Long) > item.Deadline:
+		reason = ReasonDeadline
+	}
+	if reason != ReasonNone {
+		if paced {
+			reason = ReasonLimited
+		}
+		return Decision{Verdict: Refused, Reason: reason, Wait: wait}
 	}
 	q.insert(item)
 	return Decision{Verdict: Queued, Wait: wait}
@@ -227,7 +255,7 @@
 // starts requests in free slots.
 func (q *Queue) Expire(now time.Duration) []Item {
 	q.dropLate(now)
-	if len(q.running) >= q.settings.Slots {
+	if len(q.running) >= q.settings.Slots || q.pacer.Wait(now, 0) > 0 {
 		q.dropOvertaken(now)
 	}
 	expired := q.expired
@@ -270,7 +298,7 @@
 
 // mayStart reports whether the item may run at the same time as the running requests.
 func (q *Queue) mayStart(now time.Duration, item Item) bool {
-	if q.exclusiveRunning || len(q.running) >= q.settings.Slots {
+	if q.exclusiveRunning || len(q.running) >= q.settings.Slots || q.pacer.Wait(now, 0) > 0 {
 		return false
 	}
 	if item.Exclusive {
@@ -312,6 +340,7 @@
 
 func (q *Queue) start(now time.Duration, item Item) {
 	q.running[item.ID] = running{item: item, start: now}
+	q.pacer.Start(now)
 	if item.Long {
 		q.longBusy++
 	}
@@ -386,18 +415,20 @@
 
 // dropOvertaken moves the requests to expired that will not be finished by their deadlines because others run before them.
 // Otherwise, a request that more urgent ones keep overtaking would wait until it is too late to try another endpoint. No
-// slot may be free when dropOvertaken is called.
+// request may be startable when dropOvertaken is called.
 func (q *Queue) dropOvertaken(now time.Duration) {
 	if q.queued() == 0 {
 		return
 	}
 	first, working := q.capacity(now)
 	var ahead time.Duration
+	before := 0
 	q.drop(func(i Item) bool {
 		mean := q.mean(i.Long)
-		late := i.Deadline <= now+q.waitFor(i, first, ahead, working)+mean
+		late := i.Deadline <= now+max(q.waitFor(i, first, ahead, working), q.pacer.Wait(now, before))+mean
 		if !late {
 			ahead += mean
+			before++
 		}
 		return late
 	})
@@ -438,20 +469,25 @@
 }
 
 // expectedWait estimates the time until the item would start: the time until the first running request ends, and the time
-// for the queued requests that run before the item, divided among the working slots. Queued exclusive requests are not
-// counted. For a long or exclusive item all queued short and long ones are counted, whatever their priorities are.
-func (q *Queue) expectedWait(now time.Duration, item Item) time.Duration {
+// for the queued requests that run before the item, divided among the working slots, or the time until the limit on the rate
+// lets it start if that is longer; paced is set then. Queued exclusive requests are not counted. For a long or exclusive item
+// all queued short and long ones are counted, whatever their priorities are.
+func (q *Queue) expectedWait(now time.Duration, item Item) (wait time.Duration, paced bool) {
 	first, working := q.capacity(now)
 	var ahead time.Duration
+	before := 0
 	for _, other := range q.short {
 		if item.Long || item.Exclusive || other.before(item) {
 			ahead += q.mean(false)
+			before++
 		}
 	}
 	if item.Long || item.Exclusive {
 		ahead += time.Duration(len(q.long)) * q.mean(true)
+		before += len(q.long)
 	}
-	return q.waitFor(item, first, ahead, working)
+	forSlot, forRate := q.waitFor(item, first, ahead, working), q.pacer.Wait(now, before)
+	return max(forSlot, forRate), forRate > forSlot
 }
 
 // capacity returns the number of working slots, and the expected time until the first running request ends, multiplied by that
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -343,3 +343,48 @@
 	g.Expect(float64(inTime)).To(gomega.BeNumerically(">", 0.95*float64(served)))
 	g.Expect(late).To(gomega.BeNumerically("<", served/100))
 }
+
+// Guards against more starts than a limit on the rate allows, against waiting requests that are not started although the limit
+// has room, and against less urgent requests that use it up.
+func TestLimitPacesTheQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := New(Settings{Slots: 3, QueueLimit: 9})
+	q.SetLimit(0, 2)
+	now := time.Duration(0)
+	var started []Item
+	offer := func(id string, priority int, wait time.Duration) Decision {
+		return q.Offer(now, Item{ID: id, Priority: priority, Deadline: now + wait})
+	}
+	g.Expect(offer("a", 1, 3*time.Second).Verdict).To(gomega.Equal(Queued))
+	g.Expect(offer("b", 1, 3*time.Second).Wait).To(gomega.Equal(time.Second))
+	g.Expect(offer("urgent", 0, 3*time.Second).Wait).To(gomega.Equal(500 * time.Millisecond))
+	late := offer("late", 2, time.Second)
+	g.Expect(late.Verdict).To(gomega.Equal(Refused))
+	g.Expect(late.Reason).To(gomega.Equal(ReasonLimited))
+	busy := q.Offer(now, Item{ID: "busy", MaxWait: time.Millisecond, Deadline: far})
+	g.Expect(busy.Reason).To(gomega.Equal(ReasonLimited))
+	g.Expect(q.Credit(now)).To(gomega.Equal(-3.0))
+	for ; now <= 2*time.Second; now += 50 * time.Millisecond {
+		for _, item := range q.Next(now) {
+			started = append(started, item)
+			g.Expect(now).To(gomega.BeNumerically("~", time.Duration(len(started))*500*time.Millisecond, 50*time.Millisecond))
+			q.Done(now, item.ID, 10*time.Millisecond)
+		}
+		g.Expect(q.Expire(now)).To(gomega.BeEmpty())
+	}
+	g.Expect(started).To(gomega.HaveLen(3))
+	g.Expect(started[0].ID).To(gomega.Equal("urgent"))
+	q.Unlimit()
+	g.Expect(offer("free", 1, 3*time.Second).Verdict).To(gomega.Equal(Run))
+}
+
+// Guards against requests that wait until their deadline behind others that overtake them although slots are free.
+func TestOvertakenRequestsAreRefusedUnderALimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := New(Settings{Slots: 3, QueueLimit: 9})
+	q.SetLimit(0, 1)
+	g.Expect(q.Offer(0, Item{ID: "a", Priority: 1, Deadline: 1500 * time.Millisecond}).Verdict).To(gomega.Equal(Queued))
+	g.Expect(q.Offer(0, Item{ID: "urgent", Deadline: 3 * time.Second}).Verdict).To(gomega.Equal(Queued))
+	g.Expect(q.Next(10 * time.Millisecond)).To(gomega.BeEmpty())
+	g.Expect(q.Expire(10 * time.Millisecond)).To(gomega.ConsistOf(gomega.HaveField("ID", "a")))
+}
--- a/core/announce/announce_test.go
+++ b/core/announce/announce_test.go
@@ -1,6 +1,9 @@
 package announce_test
 
 import (
+	"cmp"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +13,14 @@
 	"agatepulley.example/agatepulley/core/announce"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", cmp.Or(os.Getenv("AGATEPULLEY_TEST_SEED"), "1")); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 const (
 	second = time.Second
 	// born is the start time of the incarnation in the tests, in milliseconds since the Unix epoch.
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,9 @@
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonBusy means that the request would wait at the endpoint for longer than the sending node allows.
 	ReasonBusy Reason = "busy"
+	// ReasonLimited means that the endpoints have announced limits on the rate of their requests that leave no room for the
+	// request.
+	ReasonLimited Reason = "limited"
 	// ReasonDeadline means that the deadline of the request has passed or cannot be met.
 	ReasonDeadline Reason = "deadline"
 	// ReasonClaimNoQuorum means that no majority of the recorders, the nodes that hold the claims of the service, granted the
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -15,6 +15,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"agatepulley.example/agatepulley/core/pacing"
 )
 
 // Candidate is an endpoint that can be chosen, with what the choosing node knows about it.
@@ -28,6 +30,11 @@
 	// Busy and Queued are the numbers of running and of waiting requests in the latest report of the endpoint's host.
 	// SentSinceReport is the number of requests that this node has sent to the endpoint since then.
 	Busy, Queued, SentSinceReport int
+	// Limited is set if the endpoint limits the rate of its requests. Limit is that rate in requests per second, and Credit the
+	// number of further requests that it allows now, without those sent since the report.
+	Limited bool
+	Limit   float64
+	Credit  float64
 	// ServiceTime is the mean time that the endpoint needs for a request, or 0 if it is not known.
 	ServiceTime time.Duration
 	// New is set if the endpoint's host reports that no request has ended there yet.
@@ -182,16 +189,19 @@
 func best(rng *rand.Rand, r Request, candidates []Candidate) (int, Reason) {
 	lowest := math.Inf(1)
 	costs := make([]float64, len(candidates))
+	// Endpoints whose limit is about 0 are left to probes as long as there are others, and requests that can probe.
+	reserved := r.SingleRunPerSecond <= 0 && slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Tried && !c.onlyProbes() })
+	excluded := func(c *Candidate) bool { return c.Tried || reserved && c.onlyProbes() }
 	for n := range candidates {
 		costs[n] = Cost(r, &candidates[n])
-		if !candidates[n].Tried {
+		if !excluded(&candidates[n]) {
 			lowest = min(lowest, costs[n])
 		}
 	}
 	scale := costSpread * r.costUnit()
 	total, chosen := 0.0, -1
 	for n := range candidates {
-		if candidates[n].Tried {
+		if excluded(&candidates[n]) {
 			continue
 		}
 		weight := max(candidates[n].freeSlots(), minFreeSlots) * math.Exp(-(costs[n]-lowest)/scale)
@@ -286,9 +296,10 @@
 	// A failed request is charged at least the median service time, which its next attempt needs, so that an endpoint gains
 	// no advantage by failing fast.
 	cost := fails*failure*unit + service + fails*max(r.MedianServiceTime.Seconds()-service, 0) + c.RoundTrip.Seconds()
-	if free := c.freeSlots(); free < 1 {
+	if free := c.idleSlots(); free < 1 {
 		cost += (1 - free) / float64(max(c.Slots, 1)) * service
 	}
+	cost += c.Wait().Seconds()
 	if c.OtherZone {
 		cost += zone * unit
 	}
@@ -300,8 +311,42 @@
 	return 1 - (1-c.FailProbability)*(1-c.PathFailProbability)
 }
 
-// freeSlots returns the number of free slots. It is negative if more requests run, wait or were sent since the report than
+// idleSlots returns the number of idle slots. It is negative if more requests run, wait or were sent since the report than
 // there are slots.
-func (c *Candidate) freeSlots() float64 {
+func (c *Candidate) idleSlots() float64 {
 	return float64(c.Slots - c.Busy - c.Queued - c.SentSinceReport)
 }
+
+// freeSlots returns the number of requests that the endpoint can start now: the number of idle slots, or less if it limits the
+// rate of its requests.
+func (c *Candidate) freeSlots() float64 {
+	if c.Limited {
+		return min(c.idleSlots(), c.Credit-float64(c.SentSinceReport))
+	}
+	return c.idleSlots()
+}
+
+// Wait returns the time until the endpoint's limit on the rate allows another request.
+func (c *Candidate) Wait() time.Duration {
+	if !c.Limited {
+		return 0
+	}
+	return pacing.Wait(c.Limit, c.Credit-float64(c.SentSinceReport), 0)
+}
+
+// Room returns the least time until the limit of an untried candidate allows another request, and 0 if one has none or if all
+// have been tried.
+func Room(candidates []Candidate) time.Duration {
+	room := time.Duration(-1)
+	for n := range candidates {
+		if c := &candidates[n]; !c.Tried && (room < 0 || c.Wait() < room) {
+			room = c.Wait()
+		}
+	}
+	return max(room, 0)
+}
+
+// onlyProbes reports whether the endpoint gets requests only so that the end of its limit is noticed.
+func (c *Candidate) onlyProbes() bool {
+	return c.Limited && pacing.BelowMinimum(c.Limit)
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -192,3 +192,42 @@
 	tried.Tried = true
 	g.Expect(draw(unsafe, []placement.Candidate{tried}, 10)[1]).To(gomega.Equal(10))
 }
+
+// limited returns a healthy candidate that limits the rate of its requests.
+func limited(limit, credit float64) placement.Candidate {
+	c := healthy()
+	c.Limited, c.Limit, c.Credit = true, limit, credit
+	return c
+}
+
+// Guards against requests that are sent to an endpoint whose limit leaves no room while others have some, against a limited
+// endpoint that gets nothing although it has room, and against endpoints that keep getting requests at a limit of 0.
+func TestLimitedEndpointsGetWhatTheyTake(t *testing.T) {
+	g := gomega.NewWithT(t)
+	counts := draw(unsafe, []placement.Candidate{limited(1, 0), healthy()}, 1000)
+	g.Expect(counts[0]).To(gomega.BeZero())
+	counts = draw(unsafe, []placement.Candidate{limited(1, 1), healthy()}, 1000)
+	g.Expect(counts[0]).To(gomega.BeNumerically("~", 250, 60))
+	sent := limited(1, 1)
+	sent.SentSinceReport = 1
+	g.Expect(draw(unsafe, []placement.Candidate{sent, healthy()}, 1000)[0]).To(gomega.BeZero())
+	g.Expect(draw(unsafe, []placement.Candidate{limited(0, 1), healthy()}, 1000)[0]).To(gomega.BeZero())
+	g.Expect(draw(unsafe, []placement.Candidate{limited(0, 1), limited(0, 1)}, 1000)[2]).To(gomega.BeZero())
+	probe := placement.Request{Repeatable: true, MayExplore: true, RepeatablePerSecond: 10, TargetLatency: time.Second}
+	idle := limited(0, 1)
+	idle.SinceStart = 2 * time.Second
+	g.Expect(draw(probe, []placement.Candidate{idle, healthy()}, 1000)[0]).To(gomega.BeNumerically(">", 400))
+	idle.Credit = 0.5
+	g.Expect(draw(probe, []placement.Candidate{idle, healthy()}, 1000)[0]).To(gomega.BeZero())
+}
+
+// Guards against a wait that is longer or shorter than that of the endpoint with the least.
+func TestRoomIsTheLeastWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tried := limited(10, 0)
+	tried.Tried = true
+	g.Expect(placement.Room(nil)).To(gomega.BeZero())
+	g.Expect(placement.Room([]placement.Candidate{tried})).To(gomega.BeZero())
+	g.Expect(placement.Room([]placement.Candidate{limited(1, 0), limited(2, -1), tried})).To(gomega.Equal(time.Second))
+	g.Expect(placement.Room([]placement.Candidate{limited(1, 0), healthy()})).To(gomega.BeZero())
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -55,6 +55,8 @@
 	// Observe records a response of an endpoint on this host to a request that was sent at sentAt. It reports whether the other
 	// nodes should be told of a change.
 	Observe(id string, response announce.Response, sentAt time.Duration) bool
+	// State returns what an endpoint has announced.
+	State(id string) announce.State
 }
 
 // Suspects knows the requests that may crash endpoints. *suspects.Service implements it.
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/admission"
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/registry"
@@ -161,6 +162,9 @@
 		ServiceTimeMS: int(e.expectedTime(now).Milliseconds()),
 		StartAgeMS:    -1,
 	}
+	if r.Announced = e.applyLimit(now); r.Announced.Limited {
+		r.Credit = e.queue.Credit(now)
+	}
 	if e.hasOutcome {
 		r.StartAgeMS = int((now - e.lastStart).Milliseconds())
 	}
@@ -240,6 +244,7 @@
 	if e.mustRunElsewhere(r) {
 		return nil, refuse(r, stepAdmit, outcome.ReasonBusy, errOtherSuspect)
 	}
+	e.applyLimit(now)
 	decided := e.queue.Offer(now, item)
 	switch decided.Verdict {
 	case admission.Run:
@@ -253,12 +258,26 @@
 	}
 }
 
+// applyLimit applies the limit on the rate of requests that the endpoint has announced, or its end, to the queue. The caller
+// holds the lock.
+func (e *endpoint) applyLimit(now time.Duration) announce.State {
+	announced := e.dispatcher.options.Announcements.State(e.id)
+	if announced.Limited {
+		e.queue.SetLimit(now, announced.Limit)
+	} else {
+		e.queue.Unlimit()
+	}
+	return announced
+}
+
 func refusalReason(reason admission.Reason) outcome.Reason {
 	switch reason {
 	case admission.ReasonDeadline:
 		return outcome.ReasonDeadline
 	case admission.ReasonBusy:
 		return outcome.ReasonBusy
+	case admission.ReasonLimited:
+		return outcome.ReasonLimited
 	default:
 		return outcome.ReasonQueueFull
 	}
@@ -305,6 +324,7 @@
 // advance grants free slots to queued requests and refuses those whose deadline can no longer be met. The caller holds the
 // lock.
 func (e *endpoint) advance(now time.Duration) {
+	e.applyLimit(now)
 	for _, item := range e.queue.Next(now) {
 		e.decide(item.ID, nil)
 	}
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/pacing"
 	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
@@ -34,6 +36,8 @@
 	// start a second attempt in parallel to a slow one. Both may use only what exceeds this share, which is kept for
 	// requests whose endpoint fails unexpectedly.
 	optionalReserve = 0.4
+	// highestPriority is the priority of routes whose requests run before all others.
+	highestPriority = 0
 	// exploreTime is the time to the deadline that a probe requires, in units of the usual service time: one for the probe
 	// and one for another attempt if it fails.
 	exploreTime = 2
@@ -61,7 +65,8 @@
 	maxWait time.Duration
 }
 
-// choose returns an endpoint that the request has not tried yet, or nil if there is none.
+// choose returns an endpoint that the request has not tried yet, or nil if there is none or if the limits of all endpoints leave
+// no room for the request before its deadline.
 func (f *Forwarder) choose(fl *flight) *pick {
 	view := f.options.View()
 	candidates, usable := f.candidates(fl, view.ByService[fl.request.service])
@@ -71,6 +76,9 @@
 		TargetLatency:     fl.request.route.TargetLatency,
 		MedianServiceTime: placement.MedianServiceTime(candidates),
 	}
+	if fl.noRoom(candidates, r.MedianServiceTime) {
+		return nil
+	}
 	if r.MayExplore = fl.mayExplore(r.MedianServiceTime); r.MayExplore {
 		r.RetryBudgetLow = !f.hasSpareRetries(fl.request.service)
 		r.RepeatablePerSecond = f.repeatablePerSecond(fl.request.service)
@@ -96,6 +104,18 @@
 	return p
 }
 
+// noRoom reports whether the limits that the endpoints have announced leave no time to serve the request before its deadline.
+func (fl *flight) noRoom(candidates []placement.Candidate, usual time.Duration) bool {
+	wait := placement.Room(candidates)
+	return wait > 0 && time.Until(fl.request.deadline) < wait+usual
+}
+
+// untilRoom returns the time until the limits that the endpoints of the service have announced allow another request.
+func (f *Forwarder) untilRoom(r *request) time.Duration {
+	candidates, _ := f.candidates(&flight{forwarder: f, request: r}, f.options.View().ByService[r.service])
+	return placement.Room(candidates)
+}
+
 // hasFreeSlot reports whether an endpoint that is likely to work and that the request has not tried has a free slot.
 func (f *Forwarder) hasFreeSlot(fl *flight) bool {
 	candidates, _ := f.candidates(fl, f.options.View().ByService[fl.request.service])
@@ -121,7 +141,7 @@
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	usable := make([]*registry.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if c, ok := f.candidate(now, e); ok {
+		if c, ok := f.candidate(now, e, fl.request.route.Priority); ok {
 			c.Tried = fl.tried[e.ID]
 			candidates = append(candidates, c)
 			usable = append(usable, e)
@@ -130,9 +150,9 @@
 	return candidates, usable
 }
 
-// candidate returns what is known of an endpoint, for placement.Choose. It returns false if the endpoint accepts no
-// requests because its host is leaving.
-func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint) (placement.Candidate, bool) {
+// candidate returns what is known of an endpoint, for placement.Choose, for a request of a priority. It returns false if the
+// endpoint accepts no requests because its host is leaving.
+func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint, priority int) (placement.Candidate, bool) {
 	host := registry.HostIP(e.Address)
 	c := placement.Candidate{
 		Slots: e.Slots, SinceStart: noStartAge, RoundTrip: zoneRoundTrip,
@@ -156,9 +176,16 @@
 			return c, false
 		}
 	}
+	if announced := f.options.Announcements.State(e.ID); announced.Limited {
+		c.Limited, c.Limit = true, announced.Limit
+	}
 	if ok {
 		f.applyReport(now, &c, known)
 	}
+	if priority == highestPriority {
+		// The request overtakes those that wait.
+		c.Credit += float64(c.Queued)
+	}
 	if now < e.WarmUntil {
 		c.ServiceTime *= warmUpFactor
 	}
@@ -173,6 +200,9 @@
 	if age < loadLifetime {
 		c.Busy, c.Queued = known.Busy, known.Queued
 	}
+	if c.Limited {
+		c.Credit = pacing.Project(c.Limit, known.Credit, age)
+	}
 	if known.ServiceTimeMS > 0 {
 		c.ServiceTime = time.Duration(known.ServiceTimeMS) * time.Millisecond
 	}
@@ -192,19 +222,22 @@
 }
 
 func (f *Forwarder) recordChoice(fl *flight, p *pick, r placement.Request, c *placement.Candidate, candidates []placement.Candidate, revision uint64) {
+	inputs := map[string]any{
+		"candidates": len(candidates), "free": placement.FreeSlots(candidates), "endpoints_revision": revision, "config_version": fl.request.version,
+		"fail": round(c.FailProbability), "path": round(c.PathFailProbability), "busy": c.Busy, "queued": c.Queued,
+		"sent": c.SentSinceReport, "service_ms": c.ServiceTime.Milliseconds(), "start_age_ms": c.SinceStart.Milliseconds(),
+		"cost_ms": int(placement.Cost(r, c) * 1000),
+	}
+	if c.Limited {
+		inputs["limit"], inputs["credit"] = c.Limit, round(c.Credit)
+	}
 	f.options.Decisions.Record(decision.Decision{
 		RequestID: fl.request.id, Step: stepChoose, Service: fl.request.service, Route: fl.request.route.Name,
-		Subject: p.endpoint.ID, Peer: p.host, Reason: string(p.reason),
-		Inputs: map[string]any{
-			"candidates": len(candidates), "free": placement.FreeSlots(candidates), "endpoints_revision": revision, "config_version": fl.request.version,
-			"fail": round(c.FailProbability), "path": round(c.PathFailProbability), "busy": c.Busy, "queued": c.Queued,
-			"sent": c.SentSinceReport, "service_ms": c.ServiceTime.Milliseconds(), "start_age_ms": c.SinceStart.Milliseconds(),
-			"cost_ms": int(placement.Cost(r, c) * 1000),
-		},
+		Subject: p.endpoint.ID, Peer: p.host, Reason: string(p.reason), Inputs: inputs,
 	})
 }
 
-// round rounds a probability to three decimals, the precision of the reports, so that log lines stay short.
-func round(p float64) float64 {
-	return float64(int(p*1000+0.5)) / 1000
+// round rounds to three decimals, the precision of the reported probabilities, so that log lines stay short.
+func round(value float64) float64 {
+	return math.Round(value*1000) / 1000
 }
--- a/pkg/forward/choose_test.go
+++ b/pkg/forward/choose_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/reports"
 )
@@ -25,6 +27,11 @@
 }
 func (c partlyLinked) Path(string) (broken float64, leaving bool) { return 0, false }
 
+// noAnnouncements is a fleet whose endpoints have announced nothing.
+type noAnnouncements struct{}
+
+func (noAnnouncements) State(string) announce.State { return announce.State{} }
+
 // Guards against requests that are sent to endpoints whose condition is not reported to this node while there are others,
 // and against requests that are refused although untried endpoints without a report remain.
 func TestCandidatesAreThoseWithALinkFirst(t *testing.T) {
@@ -37,9 +44,9 @@
 	}
 	f := New(Options{
 		IP: "10.0.0.100", Zone: "a", Clock: clock.NewBootTime(),
-		Conditions: partlyLinked{linked: []string{"10.0.0.1", "10.0.0.4"}},
+		Conditions: partlyLinked{linked: []string{"10.0.0.1", "10.0.0.4"}}, Announcements: noAnnouncements{},
 	})
-	fl := &flight{forwarder: f, tried: make(map[string]bool)}
+	fl := &flight{forwarder: f, request: &request{route: &routing.Route{}}, tried: make(map[string]bool)}
 	ids := func() []string {
 		_, usable := f.candidates(fl, endpoints)
 		list := make([]string, len(usable))
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -90,7 +91,7 @@
 	// reached counts the ended attempts that reached an endpoint, or may have.
 	reached int
 	// refusals counts the attempts that a dispatcher refused or that could not be sent to it, busyRefusals those of them
-	// that were refused as busy, and rejections those that an endpoint rejected.
+	// that were refused as busy or limited, and rejections those that an endpoint rejected.
 	busyRefusals int
 	refusals     int
 	rejections   int
@@ -116,7 +117,7 @@
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, stepChoose, "", fl.crashedBefore())
 	}
 	if !fl.launch(ctx) {
-		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoEndpoint, stepChoose, "", nil)
+		return nil, fl.failure
 	}
 	for len(fl.open) > 0 {
 		got := fl.wait(ctx)
@@ -155,6 +156,7 @@
 	f := fl.forwarder
 	p := f.choose(fl)
 	if p == nil {
+		fl.recordUnplaced()
 		return false
 	}
 	fl.attempts++
@@ -236,7 +238,7 @@
 		fl.rejections++
 	default:
 		fl.refusals++
-		if failure.Reason == outcome.ReasonBusy {
+		if failure.Reason == outcome.ReasonBusy || failure.Reason == outcome.ReasonLimited {
 			// The endpoint may be chosen again; the request then waits in its queue.
 			fl.busyRefusals++
 			fl.busy[got.pick.endpoint.ID] = true
@@ -250,6 +252,19 @@
 	}
 }
 
+// recordUnplaced keeps the reason why there was no endpoint for an attempt, unless an earlier one may have run.
+func (fl *flight) recordUnplaced() {
+	if fl.failure != nil && fl.failure.Outcome != outcome.NotRun {
+		return
+	}
+	if wait := fl.forwarder.untilRoom(fl.request); wait > 0 {
+		err := fmt.Errorf("the endpoints take the next request in %v", wait)
+		fl.failure = outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLimited, stepChoose, "", err)
+	} else if fl.failure == nil {
+		fl.failure = outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoEndpoint, stepChoose, "", nil)
+	}
+}
+
 // mayContinue reports whether another attempt may follow the one that ended with got.
 func (fl *flight) mayContinue(ctx context.Context, got result) bool {
 	if ctx.Err() != nil || time.Until(fl.request.deadline) < max(minRetryTime, fl.latest.serviceTime/2) {
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
@@ -80,6 +81,11 @@
 	Learn(record quarantine.Record)
 }
 
+// Announcements holds what endpoints have announced in their responses. *announcements.Service implements it.
+type Announcements interface {
+	State(id string) announce.State
+}
+
 // Options are the settings and dependencies of a forwarder.
 type Options struct {
 	// IP and Zone are the address and the availability zone of this host.
@@ -97,12 +103,14 @@
 	Dispatcher *dispatch.Dispatcher
 	Inquirer   Inquirer
 	Suspects   Suspects
-	Headers    dialect.Headers
-	Budget     retrybudget.Settings
-	Clock      clock.Clock
-	Decisions  *decision.Recorder
-	Logger     *slog.Logger
-	Metrics    *telemetry.Metrics
+	// Announcements holds what endpoints have announced in their responses.
+	Announcements Announcements
+	Headers       dialect.Headers
+	Budget        retrybudget.Settings
+	Clock         clock.Clock
+	Decisions     *decision.Recorder
+	Logger        *slog.Logger
+	Metrics       *telemetry.Metrics
 }
 
 // Forwarder serves callers. It is safe for concurrent use.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -237,7 +237,7 @@
 	// A quarantine outlasts the deadline of any caller, so that a return would be in vain.
 	mayReturn := failure.Reason != outcome.ReasonQuarantined
 	if failure.Outcome == outcome.NotRun && failure.Status == http.StatusServiceUnavailable && mayReturn {
-		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r).Seconds(), 'f', 3, 64))
+		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r, failure.Reason).Seconds(), 'f', 3, 64))
 	}
 	// Encoding cannot fail: all fields are strings.
 	text, _ := json.Marshal(refusal{Outcome: failure.Outcome, Reason: failure.Reason, RequestID: id})
@@ -249,12 +249,17 @@
 }
 
 // retryAfter returns how long a refused caller is asked to wait. The waits are spread at random over the time in which a
-// full queue drains.
-func (f *Forwarder) retryAfter(r *request) time.Duration {
+// full queue drains. If the endpoints limit the rate of their requests, they begin when there is room, which may be after the
+// caller's deadline.
+func (f *Forwarder) retryAfter(r *request, reason outcome.Reason) time.Duration {
 	if r == nil {
 		return notReadyRetryAfter
 	}
-	wait := retryAfterMin + time.Duration(f.random()*float64(retryAfterSpread))
+	spread := time.Duration(f.random() * float64(retryAfterSpread))
+	if reason == outcome.ReasonLimited {
+		return max(f.untilRoom(r), retryAfterMin) + spread
+	}
+	wait := retryAfterMin + spread
 	return max(min(wait, time.Duration(retryAfterShare*float64(time.Until(r.deadline)))), 0)
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
@@ -118,7 +119,8 @@
 	m.reports = reports.New(reports.Options{
 		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
 		Decisions: m.decisions, Fill: m.fillReport, Observe: m.observeReport,
-		Notice: func(ip string, notice []byte) { m.suspects.Receive(ip, notice) },
+		Notice:    func(ip string, notice []byte) { m.suspects.Receive(ip, notice) },
+		Announced: func(id string, announced announce.State) { m.announcements.Learn(id, announced) },
 	})
 	m.suspects = suspects.New(suspects.Options{
 		Clock: m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: tele.Metrics(), Network: m.reports,
@@ -159,7 +161,7 @@
 		IP: s.IP, Zone: s.Zone, HopPort: hopPort,
 		CallerService: func() string { return m.settings.Load().Service },
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
-		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Headers: platform.Headers,
+		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Announcements: m.announcements, Headers: platform.Headers,
 		Budget: retrybudget.Settings{Ratio: s.RetryRatio, Constant: s.RetryConstant, Window: s.RetryWindow},
 		Clock:  m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: m.telemetry.Metrics(),
 	})
--- a/pkg/reports/queries.go
+++ b/pkg/reports/queries.go
@@ -13,7 +13,15 @@
 func (s *Service) ObserveEndpoint(e Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endpoints[e.ID] = s.endpoints[e.ID].update(e, s.options.Clock.Now())
+	s.observe(e, s.options.Clock.Now())
+}
+
+// observe stores the condition of an endpoint. The caller holds the lock.
+func (s *Service) observe(e Endpoint, now time.Duration) {
+	s.endpoints[e.ID] = s.endpoints[e.ID].update(e, now)
+	if e.Announced.Version > 0 {
+		s.options.Announced(e.ID, e.Announced)
+	}
 }
 
 // Endpoint returns the latest received condition of an endpoint. It returns false if none is known.
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"math"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/retrybudget"
 )
@@ -26,6 +30,11 @@
 	ServiceTimeMS int `json:"m,omitempty"`
 	// StartAgeMS is the time since the latest request began, in milliseconds, or negative if none has ended or stalled.
 	StartAgeMS int `json:"o"`
+	// Announced is what the endpoint has announced in its responses. If that is a limit, Credit is the number of further
+	// requests that the limit allows now, which is negative if more requests wait. Both follow the report in datagrams, so that
+	// nodes of earlier releases can read the rest.
+	Announced announce.State `json:"a,omitzero" msgpack:"-"`
+	Credit    float64        `json:"c,omitempty" msgpack:"-"`
 }
 
 // Repeats holds the requests and the retries that a node counted for a service in the latest window of the retry budget.
@@ -80,9 +89,59 @@
 	if err := e.Encode(r); err != nil {
 		return nil, err
 	}
+	if announcements := r.announcements(); len(announcements) > 0 {
+		if err := e.Encode(announcements); err != nil {
+			return nil, err
+		}
+	}
 	return b.Bytes(), nil
 }
 
+// announcement is what an endpoint of a report has announced, as it is encoded after the report.
+type announcement struct {
+	ID          string
+	StartedAtMS int64
+	Version     uint64
+	Limited     bool
+	Limit       float64
+	Leaving     bool
+	Credit      float64
+}
+
+// announcements returns the announcements of the endpoints that have made any.
+func (r *Report) announcements() []announcement {
+	var list []announcement
+	for _, e := range r.Endpoints {
+		if a := e.Announced; a.Version > 0 {
+			list = append(list, announcement{e.ID, a.StartedAtMS, a.Version, a.Limited, a.Limit, a.Leaving, e.Credit})
+		}
+	}
+	return list
+}
+
+// addAnnouncements reads the announcements that follow the report, if there are any, and adds them to its endpoints.
+func (r *Report) addAnnouncements(f *fieldReader) {
+	if _, err := f.decoder.PeekCode(); f.err != nil || errors.Is(err, io.EOF) {
+		return
+	}
+	for range f.list() {
+		f.array("announcement", announcementFields)
+		id := f.text()
+		announced := announce.State{
+			StartedAtMS: read(f, f.decoder.DecodeInt64), Version: f.unsigned(), Limited: f.flag(), Limit: f.number(), Leaving: f.flag(),
+		}
+		credit := f.number()
+		if f.err == nil && announced.Limit < 0 {
+			f.err = fmt.Errorf("limit %v is negative", announced.Limit)
+		}
+		for n := range r.Endpoints {
+			if r.Endpoints[n].ID == id {
+				r.Endpoints[n].Announced, r.Endpoints[n].Credit = announced, credit
+			}
+		}
+	}
+}
+
 // decode reads a datagram. A length prefix larger than the content does not make it allocate memory for that length.
 func (r *Report) decode(datagram []byte) error {
 	f := fieldReader{decoder: msgpack.NewDecoder(bytes.NewReader(datagram))}
@@ -105,14 +164,16 @@
 	for range f.list() {
 		r.Lost = append(r.Lost, f.text())
 	}
+	r.addAnnouncements(&f)
 	return f.err
 }
 
 const (
 	// Numbers of fields of the structs, which are encoded as arrays.
-	reportFields   = 12
-	endpointFields = 7
-	repeatsFields  = 3
+	reportFields       = 12
+	endpointFields     = 7
+	repeatsFields      = 3
+	announcementFields = 7
 	// maxTextBytes is the maximum length of a string.
 	maxTextBytes = 255
 	// maxListLength is the maximum length of a list. A node has one endpoint or two, and requests for a few services.
@@ -137,6 +198,15 @@
 func (f *fieldReader) unsigned() uint64 { return read(f, f.decoder.DecodeUint64) }
 func (f *fieldReader) flag() bool       { return read(f, f.decoder.DecodeBool) }
 
+// number reads a finite number.
+func (f *fieldReader) number() float64 {
+	value := read(f, f.decoder.DecodeFloat64)
+	if f.err == nil && (math.IsNaN(value) || math.IsInf(value, 0)) {
+		f.err = fmt.Errorf("%v is not a finite number", value)
+	}
+	return value
+}
+
 func (f *fieldReader) text() string {
 	return string(read(f, func() ([]byte, error) {
 		n, err := f.decoder.DecodeBytesLen()
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"runtime"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"agatepulley.example/agatepulley/core/announce"
 )
 
 func sample() Report {
@@ -33,6 +36,34 @@
 	g.Expect(len(datagram)).To(gomega.BeNumerically("<=", 128+len(r.Lost[0])+2))
 }
 
+// Guards against announcements that are lost in encoding or that nodes of an earlier release, which ignore what follows the
+// report, cannot read past, and against limits that are no numbers.
+func TestAnnouncementsFollowTheReport(t *testing.T) {
+	g := gomega.NewWithT(t)
+	plain := sample()
+	before, err := plain.encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r := sample()
+	r.Endpoints[0].Announced = announce.State{StartedAtMS: 1780483690044, Version: 1780483699000, Limited: true, Limit: 2.4, Leaving: true}
+	r.Endpoints[0].Credit = -1.5
+	datagram, err := r.encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(datagram[:len(before)]).To(gomega.Equal(before))
+	g.Expect(len(datagram) - len(before)).To(gomega.BeNumerically("<=", 64))
+	var got Report
+	g.Expect(got.decode(datagram)).To(gomega.Succeed())
+	g.Expect(got).To(gomega.Equal(r))
+	for _, limit := range []float64{math.NaN(), math.Inf(1), -1} {
+		r.Endpoints[0].Announced.Limit = limit
+		datagram, err = r.encode()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.decode(datagram)).NotTo(gomega.Succeed(), "%v", limit)
+	}
+	for cut := len(before) + 1; cut < len(datagram); cut++ {
+		g.Expect(got.decode(datagram[:cut])).NotTo(gomega.Succeed())
+	}
+}
+
 // Guards against a failing endpoint that counts as healthy again after a restart of its node: the restarted node has seen
 // no requests end, so its first reports hold a default probability.
 func TestRestartedDispatcherDoesNotEraseEvidence(t *testing.T) {
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
@@ -52,6 +53,8 @@
 	Fill func(*Report)
 	// Observe is called with each report that is not outdated and the peer address (IP:port) of its sender.
 	Observe func(peerAddress string, r *Report)
+	// Announced is called with what an endpoint has announced according to the node on its host.
+	Announced func(id string, announced announce.State)
 	// Notice is called with each notice and the IP address of its sender.
 	Notice func(ip string, notice []byte)
 }
@@ -264,7 +267,7 @@
 	}
 	s.recordUnreachable(now, ip, r)
 	for _, e := range r.Endpoints {
-		s.endpoints[e.ID] = s.endpoints[e.ID].update(e, now)
+		s.observe(e, now)
 	}
 	return true
 }
