--- a/core/account/account.go
+++ b/core/account/account.go
@@ -33,6 +33,8 @@
 	Unplaced Cause = "slots-elsewhere"
 	// Overload means that no queue accepted the request and that no free slot was known.
 	Overload Cause = "no-slot"
+	// Limited means that the endpoints had announced limits on the rate of their requests that left no room.
+	Limited Cause = "limited"
 	// Deadline means that the request ran at an endpoint until its deadline.
 	Deadline Cause = "deadline"
 	// Unavailable means that the node was starting or stopping, or knew of no endpoint.
@@ -47,7 +49,7 @@
 
 // Causes lists all causes in the order of tables.
 var Causes = []Cause{
-	InTime, Late, Onset, Doubtful, Path, EndpointError, Rejected, Unplaced, Overload, Deadline, Unavailable, CallerLeft, Invalid,
+	InTime, Late, Onset, Doubtful, Path, EndpointError, Rejected, Unplaced, Overload, Limited, Deadline, Unavailable, CallerLeft, Invalid,
 	Unfinished,
 }
 
@@ -196,6 +198,8 @@
 		return Path
 	case outcome.ReasonBusy, outcome.ReasonQueueFull, outcome.ReasonEndpointSuspect, outcome.ReasonVoided:
 		return r.refusal()
+	case outcome.ReasonLimited:
+		return Limited
 	case outcome.ReasonDeadline:
 		if outcome.Outcome(end.Outcome) == outcome.NotRun {
 			return r.refusal()
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -90,6 +90,8 @@
 	InFlight  int  `json:"in_flight"`
 	// Load is in requests per slot.
 	Load float64 `json:"load"`
+	// Limit is the limit that the endpoint has announced in its responses, in requests per second, or nil if there is none.
+	Limit *float64 `json:"limit,omitempty"`
 }
 
 // OwnedStatus describes an endpoint on this node's host, which this node owns: it admits the requests to the endpoint's
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -66,6 +66,7 @@
 		},
 		Services: []admin.ServiceStatus{{Name: "desk", Endpoints: []admin.EndpointStatus{
 			{ID: "desk-1", State: "ejected", Reason: "score 8.1 over 7.0"},
+			{ID: "desk-2", State: "leaving", Limit: new(2.4)},
 		}}},
 		Owned:    []admin.OwnedStatus{{ID: "desk-9", Busy: 2, Slots: 3}},
 		Suspects: []admin.SuspectStatus{{Fingerprint: "f1", Service: "desk", Action: "refuse", Crashed: []string{"desk-7"}}},
@@ -156,7 +157,7 @@
 	node := serveNode(t)
 	code, stdout, stderr := run("status", node)
 	g.Expect(code).To(gomega.Equal(ctl.ExitSuccess), stderr)
-	for _, text := range []string{"1.7", "digest-conflict", "1.6", "unknown", "never", "ejected", "score 8.1 over 7.0", "desk-9", "host-list", "desk-7"} {
+	for _, text := range []string{"1.7", "digest-conflict", "1.6", "unknown", "never", "ejected", "score 8.1 over 7.0", "2.4/s", "desk-9", "host-list", "desk-7"} {
 		g.Expect(stdout).To(gomega.ContainSubstring(text))
 	}
 	_, stdout, _ = run("status", "--json", node)
--- a/pkg/ctl/node.go
+++ b/pkg/ctl/node.go
@@ -161,11 +161,11 @@
 	for i := range s.Hosts {
 		writeHost(table, &s.Hosts[i])
 	}
-	fmt.Fprintln(table, "\nSERVICE\tENDPOINT\tHOST\tZONE\tSTATE\tPROTECTED\tIN FLIGHT\tSLOTS\tLOAD\tREASON")
+	fmt.Fprintln(table, "\nSERVICE\tENDPOINT\tHOST\tZONE\tSTATE\tPROTECTED\tIN FLIGHT\tSLOTS\tLOAD\tLIMIT\tREASON")
 	for _, service := range s.Services {
 		for _, e := range service.Endpoints {
-			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%t\t%d\t%d\t%.2f\t%s\n", service.Name, e.ID, e.Host, e.Zone, e.State,
-				e.Protected, e.InFlight, e.Slots, e.Load, e.Reason)
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%t\t%d\t%d\t%.2f\t%s\t%s\n", service.Name, e.ID, e.Host, e.Zone, e.State,
+				e.Protected, e.InFlight, e.Slots, e.Load, limitText(e.Limit), e.Reason)
 		}
 	}
 	fmt.Fprintln(table, "\nOWNED\tSERVICE\tADDRESS\tSTATE\tBUSY\tQUEUED\tSLOTS")
@@ -207,6 +207,14 @@
 	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", h.Host, h.Zone, version, secondsText(h.SecondsSinceContact), state)
 }
 
+// limitText formats a limit on the rate of requests, or its absence.
+func limitText(limit *float64) string {
+	if limit == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g/s", *limit)
+}
+
 // secondsText formats an age. A negative age means that the event never happened.
 func secondsText(seconds float64) string {
 	if seconds < 0 {
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/configstate"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/pkg/admin"
@@ -41,7 +42,9 @@
 	}
 	slices.SortFunc(status.Services, func(a, b admin.ServiceStatus) int { return strings.Compare(a.Name, b.Name) })
 	for _, e := range view.ByHost[s.IP] {
-		owned := admin.OwnedStatus{ID: e.ID, Service: e.Service, Address: e.Address, State: phase(e), Slots: e.Slots}
+		owned := admin.OwnedStatus{
+			ID: e.ID, Service: e.Service, Address: e.Address, State: phase(e, m.announcements.State(e.ID)), Slots: e.Slots,
+		}
 		if r, ok := m.dispatcher.Report(e.ID); ok {
 			owned.Busy, owned.Queued = r.Busy, r.Queued
 		}
@@ -58,7 +61,13 @@
 func (m *Member) serviceStatus(name string, endpoints []*registry.Endpoint) admin.ServiceStatus {
 	status := admin.ServiceStatus{Name: name}
 	for _, e := range endpoints {
-		entry := admin.EndpointStatus{ID: e.ID, Host: registry.HostIP(e.Address), Zone: e.Zone, State: phase(e), Slots: e.Slots}
+		announced := m.announcements.State(e.ID)
+		entry := admin.EndpointStatus{
+			ID: e.ID, Host: registry.HostIP(e.Address), Zone: e.Zone, State: phase(e, announced), Slots: e.Slots,
+		}
+		if announced.Limited {
+			entry.Limit = &announced.Limit
+		}
 		if known, ok := m.reports.Endpoint(e.ID); ok {
 			entry.InFlight = known.Busy + known.Queued
 			entry.Load = float64(entry.InFlight) / float64(max(e.Slots, 1))
@@ -69,11 +78,15 @@
 }
 
 // phase returns the state of an endpoint as shown in the status.
-func phase(e *registry.Endpoint) string {
-	if e.Draining {
+func phase(e *registry.Endpoint, announced announce.State) string {
+	switch {
+	case e.Draining:
 		return "draining"
+	case announced.Leaving:
+		return "leaving"
+	default:
+		return "serving"
 	}
-	return "serving"
 }
 
 // observeMetrics registers the metrics whose values are read from the services of the node.
