Tell a restarted node what its endpoint has announced

A dispatcher that was restarted knew of no limit until the first response named it again, and sent whatever arrived meanwhile: with three endpoints at a limit of 0.1 a second and two nodes that each believed in room for one request, the restarted node sent two at once. Forwarders now tell what they know of the endpoint with each attempt, and the dispatcher takes it before it admits the request, without credit.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -140,6 +140,8 @@
 	// HeaderHopSuspect holds, in the response to a request that crashed an endpoint or is refused as one that does, the
 	// crashes known of its fingerprint.
 	HeaderHopSuspect = HopPrefix + "Suspect"
+	// HeaderHopAnnounced holds what the sending node knows of the announcements of the endpoint.
+	HeaderHopAnnounced = HopPrefix + "Announced"
 	// HeaderHopLoad holds, in a response, the load of the endpoint.
 	HeaderHopLoad = HopPrefix + "Load"
 	// HeaderHopPriority holds the priority of the request among those of its service; lower values run first.
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -57,6 +57,8 @@
 	Observe(id string, response announce.Response, sentAt time.Duration) bool
 	// State returns what an endpoint has announced.
 	State(id string) announce.State
+	// Learn records what another node knows of an endpoint.
+	Learn(id string, told announce.State)
 }
 
 // Suspects knows the requests that may crash endpoints. *suspects.Service implements it.
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -38,6 +38,7 @@
 		hop.WriteFailure(c, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepHop, "", err))
 		return
 	}
+	d.options.Announcements.Learn(meta.Endpoint, meta.Announced)
 	ctx, cancel := relay.WithTimeout(parent, meta.Remaining)
 	defer cancel()
 	hop.EchoAttempt(c, meta)
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -97,6 +97,7 @@
 		Remaining:     hopRemaining(time.Until(r.deadline)),
 		Priority:      r.route.Priority,
 		CallerService: f.options.CallerService(),
+		Announced:     f.options.Announcements.State(p.endpoint.ID),
 	}
 	if p.host == f.options.IP {
 		request := &dispatch.Request{Meta: meta, Transport: dispatch.BackendRequest(relay.CopyRequestHead(r.head), r.body)}
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -4,6 +4,7 @@
 package hop
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/outcome"
 )
 
@@ -43,6 +45,9 @@
 	Priority int
 	// CallerService is the service on whose host the request originated. It is empty if backend servers are not told.
 	CallerService string
+	// Announced is what the ingress knows of the announcements of the endpoint. The node beside the endpoint may have been
+	// restarted since. Package ingress does not set it.
+	Announced announce.State
 }
 
 // Values of the class header, separated by commas.
@@ -86,6 +91,11 @@
 	if m.CallerService != "" {
 		h.Set(outcome.HeaderHopCaller, m.CallerService)
 	}
+	if m.Announced.Version > 0 {
+		// Encoding cannot fail: a state holds finite numbers and flags.
+		text, _ := json.Marshal(m.Announced)
+		h.Set(outcome.HeaderHopAnnounced, string(text))
+	}
 }
 
 // Read parses the hop headers of a request.
@@ -100,6 +110,12 @@
 			return nil, fmt.Errorf("parse header %s: %w", outcome.HeaderHopPriority, err)
 		}
 	}
+	var announced announce.State
+	if text := h.Get(outcome.HeaderHopAnnounced); text != "" {
+		if err := json.Unmarshal([]byte(text), &announced); err != nil {
+			return nil, fmt.Errorf("parse header %s: %w", outcome.HeaderHopAnnounced, err)
+		}
+	}
 	class := strings.Split(h.Get(outcome.HeaderHopClass), ",")
 	maxWait, err := readMaxWait(class)
 	if err != nil {
@@ -121,6 +137,7 @@
 
 		Priority:      priority,
 		CallerService: h.Get(outcome.HeaderHopCaller),
+		Announced:     announced,
 	}
 	if m.Attempt == "" || m.Endpoint == "" {
 		return nil, fmt.Errorf("headers %s and %s are required, got %q and %q", outcome.HeaderHopAttempt, outcome.HeaderHopEndpoint, m.Attempt, m.Endpoint)
--- a/pkg/hop/hop_test.go
+++ b/pkg/hop/hop_test.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/onsi/gomega"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/hop"
@@ -20,7 +21,7 @@
 	sent := hop.Meta{
 		RequestID: "r1", Attempt: "a1", Service: "desk", Endpoint: "e1", Route: "book", Key: "k", Fingerprint: "f",
 		Suspect: true, Repeatable: true, Long: true, MaxWait: 80 * time.Millisecond, Remaining: 1500 * time.Millisecond, Priority: 2,
-		CallerService: "scan",
+		CallerService: "scan", Announced: announce.State{StartedAtMS: 7, Version: 8, Limited: true, Limit: 2.4, Leaving: true},
 	}
 	var h protocol.RequestHeader
 	sent.Write(&h)
