Stop sending requests to endpoints that announce that they are leaving

What callers and endpoints saw: an endpoint that says in its responses that it is leaving, and whose entry in the store stays as it is, went on getting requests, also from the nodes that had passed this on. Cause: no code read the announcement.

A leaving endpoint is now treated as a draining one, on every node that knows of it, from the first such response on: forwarders do not choose it, its dispatcher refuses new requests as leaving, and those that wait for a slot at once instead of when it is their turn (also for endpoints that drain by the store).

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -253,7 +253,7 @@
 	if d.Leaving() {
 		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
-	if d.options.View().Leaving(r.Endpoint) {
+	if d.endpointLeaves(r.Endpoint) {
 		return nil, refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
 	switch d.options.Suspects.Decide(r.Fingerprint) {
@@ -265,6 +265,12 @@
 	return d.endpoint(r.Endpoint).run(ctx, r)
 }
 
+// endpointLeaves reports whether an endpoint takes no new requests: its entry says that it is draining or was removed, or it has
+// announced in a response that it is leaving.
+func (d *Dispatcher) endpointLeaves(id string) bool {
+	return d.options.View().Leaving(id) || d.options.Announcements.State(id).Leaving
+}
+
 // endpoint returns the state of an endpoint, which it creates if necessary: the ingress may know an endpoint that is not
 // registered in the view of this node yet. If another endpoint runs here instead, it rejects the request, because the
 // request names its target instance.
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -21,6 +21,7 @@
 	errExpired   = errors.New("removed from the queue: the deadline can no longer be met")
 	errWithdrawn = errors.New("removed from the queue: withdrawn by the ingress")
 	errSuspect   = errors.New("removed from the queue: the endpoint probably fails")
+	errLeaving   = errors.New("removed from the queue: the endpoint leaves")
 )
 
 const (
@@ -224,6 +225,8 @@
 			return refuse(r, stepAdmit, outcome.ReasonVoided, err)
 		case errors.Is(err, errSuspect):
 			return refuse(r, stepAdmit, outcome.ReasonEndpointSuspect, err)
+		case errors.Is(err, errLeaving):
+			return refuse(r, stepAdmit, outcome.ReasonLeaving, err)
 		case err != nil:
 			return refuse(r, stepAdmit, outcome.ReasonDeadline, err)
 		}
@@ -450,14 +453,19 @@
 	if len(e.waiting) == 0 || e.filter.Probability(now) < suspectFrom || !e.peersHealthy() {
 		return
 	}
+	e.refuseWaiting(errSuspect)
+}
+
+// refuseWaiting refuses all queued requests. The caller holds the lock.
+func (e *endpoint) refuseWaiting(err error) {
 	for attempt := range e.waiting {
 		if e.queue.Cancel(attempt) {
-			e.decide(attempt, errSuspect)
+			e.decide(attempt, err)
 		}
 	}
 }
 
-// check observes newly stalled requests, refuses the queued ones if the endpoint is suspect, and advances the queue. It
+// check observes newly stalled requests, refuses the queued ones if the endpoint is suspect or leaves, and advances the queue. It
 // reports whether the other nodes should be notified of the endpoint's condition.
 func (e *endpoint) check() bool {
 	e.mu.Lock()
@@ -472,6 +480,9 @@
 		}
 	}
 	e.refuseIfSuspect(now)
+	if len(e.waiting) > 0 && e.dispatcher.endpointLeaves(e.id) {
+		e.refuseWaiting(errLeaving)
+	}
 	e.advance(now)
 	return e.crossedDegraded(now) || stalled
 }
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -46,7 +46,7 @@
 	if ctx.Err() != nil || (ok && !time.Now().Before(deadline)) {
 		return refuse(r, stepDispatch, outcome.ReasonDeadline, errDeadlinePassed)
 	}
-	if e.dispatcher.options.View().Leaving(e.id) {
+	if e.dispatcher.endpointLeaves(e.id) {
 		return refuse(r, stepDispatch, outcome.ReasonLeaving, nil)
 	}
 	if e.dispatcher.options.Suspects.Decide(r.Fingerprint) == quarantine.Refuse {
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -151,7 +151,7 @@
 }
 
 // candidate returns what is known of an endpoint, for placement.Choose, for a request of a priority. It returns false if the
-// endpoint accepts no requests because its host is leaving.
+// endpoint accepts no requests because it or its host is leaving.
 func (f *Forwarder) candidate(now time.Duration, e *registry.Endpoint, priority int) (placement.Candidate, bool) {
 	host := registry.HostIP(e.Address)
 	c := placement.Candidate{
@@ -176,9 +176,11 @@
 			return c, false
 		}
 	}
-	if announced := f.options.Announcements.State(e.ID); announced.Limited {
-		c.Limited, c.Limit = true, announced.Limit
+	announced := f.options.Announcements.State(e.ID)
+	if announced.Leaving {
+		return c, false
 	}
+	c.Limited, c.Limit = announced.Limited, announced.Limit
 	if ok {
 		f.applyReport(now, &c, known)
 	}
