Take the end of an endpoint that announced its leaving for no crash

An endpoint that had announced in its responses that it is leaving, and then ended with requests in flight, counted as crashed, so that these requests became suspects and the next crash elsewhere would have quarantined them. Only the entry in the store was asked whether it leaves; the dispatcher now asks the same question as at admission.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -54,7 +54,7 @@
 	}
 	e.mu.Unlock()
 	listed := e.dispatcher.options.View().ByID[e.id]
-	if run == nil || listed == nil || listed.Draining {
+	if run == nil || listed == nil || e.dispatcher.endpointLeaves(e.id) {
 		return false
 	}
 	e.determining.Lock()
