Serve requests that wait for a limit in time, or refuse them at once

With all six endpoints of a service at 3 requests a second and 112 arriving, 24 of the requests that waited for their turn were refused only at their deadline, after 1.5 s, and 147 of those served were late: the queue was as long as the deadline allows, and was advanced only every 50 ms. A longer queue does not serve more requests of a limited endpoint. A request now waits for credit only as long as its response can be in time, and a timer starts the next one when it is due.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -251,6 +251,13 @@
 	}
 }
 
+// UntilStart returns the time until the limit on the rate lets the next queued request start. It returns false if none is queued
+// or the limit does not hold it up.
+func (q *Queue) UntilStart(now time.Duration) (time.Duration, bool) {
+	wait := q.pacer.Wait(now, 0)
+	return wait, wait > 0 && q.queued() > 0
+}
+
 // Expire removes and returns the queued requests whose deadline can no longer be met. It must be called after Next, which
 // starts requests in free slots.
 func (q *Queue) Expire(now time.Duration) []Item {
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -364,6 +364,9 @@
 	busy := q.Offer(now, Item{ID: "busy", MaxWait: time.Millisecond, Deadline: far})
 	g.Expect(busy.Reason).To(gomega.Equal(ReasonLimited))
 	g.Expect(q.Credit(now)).To(gomega.Equal(-3.0))
+	until, held := q.UntilStart(now)
+	g.Expect(held).To(gomega.BeTrue())
+	g.Expect(until).To(gomega.Equal(500 * time.Millisecond))
 	for ; now <= 2*time.Second; now += 50 * time.Millisecond {
 		for _, item := range q.Next(now) {
 			started = append(started, item)
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -83,8 +83,10 @@
 	// waiting holds, by attempt, the channels on which queued requests receive nil when they are granted a slot, or the
 	// error with which they are refused.
 	waiting map[string]chan error
-	running map[string]*running
-	filter  faultfilter.Filter
+	// startTimer is set while a timer runs that starts the next queued request when the limit on the rate allows it.
+	startTimer bool
+	running    map[string]*running
+	filter     faultfilter.Filter
 	// meanTime is the mean service time over all routes, or 0 if no request has succeeded yet; routeTimes holds the mean
 	// of each route.
 	meanTime   time.Duration
@@ -255,6 +257,7 @@
 	case admission.Queued:
 		granted := make(chan error, 1)
 		e.waiting[r.Attempt] = granted
+		e.scheduleStart(now)
 		return granted, nil
 	default:
 		return nil, refuse(r, stepAdmit, refusalReason(decided.Reason), nil)
@@ -334,6 +337,22 @@
 	for _, item := range e.queue.Expire(now) {
 		e.decide(item.ID, errExpired)
 	}
+	e.scheduleStart(now)
+}
+
+// scheduleStart sets the timer for the next queued request if the limit on the rate holds it up. The caller holds the lock.
+func (e *endpoint) scheduleStart(now time.Duration) {
+	wait, held := e.queue.UntilStart(now)
+	if !held || e.startTimer {
+		return
+	}
+	e.startTimer = true
+	time.AfterFunc(wait, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.startTimer = false
+		e.advance(e.dispatcher.now())
+	})
 }
 
 // decide hands a queued request its decision: nil grants a slot, an error refuses the request. The caller holds the lock.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -96,18 +96,33 @@
 		endpoint: usable[n], host: registry.HostIP(usable[n].Address), reason: reason, suspect: fl.quarantine() != quarantine.RunNormally,
 		serviceTime: orDefault(candidates[n].ServiceTime, r.MedianServiceTime),
 	}
-	if fl.busyRefusals < maxBusyRefusals && !fl.busy[p.endpoint.ID] && !placement.Saturated(candidates) {
-		p.maxWait = time.Duration(maxWaitShare * float64(orDefault(fl.request.route.TargetLatency, defaultTargetLatency)))
+	switch {
+	case fl.busyRefusals < maxBusyRefusals && !fl.busy[p.endpoint.ID] && !placement.Saturated(candidates):
+		p.maxWait = time.Duration(maxWaitShare * float64(fl.request.targetLatency()))
+	case candidates[n].Limited:
+		p.maxWait = fl.request.maxLimitedWait(r.MedianServiceTime)
 	}
 	p.incarnation = f.options.Conditions.Incarnation(p.host)
 	f.recordChoice(fl, p, r, &candidates[n], candidates, view.Revision)
 	return p
 }
 
-// noRoom reports whether the limits that the endpoints have announced leave no time to serve the request before its deadline.
+// noRoom reports whether the request would have to wait too long for all endpoints because of the limits that they have announced.
 func (fl *flight) noRoom(candidates []placement.Candidate, usual time.Duration) bool {
 	wait := placement.Room(candidates)
-	return wait > 0 && time.Until(fl.request.deadline) < wait+usual
+	return wait > 0 && (wait > fl.request.maxLimitedWait(usual) || time.Until(fl.request.deadline) < wait+usual)
+}
+
+// maxLimitedWait returns the longest time for which a request waits for an endpoint that limits the rate of its requests: as long
+// as the response can be in time. The endpoint serves as many requests with a longer queue, but all of them late.
+func (r *request) maxLimitedWait(usual time.Duration) time.Duration {
+	target := r.targetLatency()
+	return max(target-usual, time.Duration(maxWaitShare*float64(target)))
+}
+
+// targetLatency returns the target latency of the request's route, or the default.
+func (r *request) targetLatency() time.Duration {
+	return orDefault(r.route.TargetLatency, defaultTargetLatency)
 }
 
 // untilRoom returns the time until the limits that the endpoints of the service have announced allow another request.
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -195,7 +195,7 @@
 
 // hedgeDelay returns the time after which an attempt counts as slow.
 func (fl *flight) hedgeDelay() time.Duration {
-	limit := time.Duration(hedgeShare * float64(orDefault(fl.request.route.TargetLatency, defaultTargetLatency)))
+	limit := time.Duration(hedgeShare * float64(fl.request.targetLatency()))
 	return max(min(hedgeFactor*fl.latest.serviceTime, limit), minHedgeDelay)
 }
 
