Pass over entries of the store that no endpoint can have

Only the types of the fields were checked, and only where the store is read.

Texts of errors are cut, since they quote the entry.

--- a/pkg/discovery/pull_test.go
+++ b/pkg/discovery/pull_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -84,3 +85,24 @@
 	}, pullTimeout/2, "10ms").Should(gomega.BeTrue())
 	g.Expect(time.Since(begin)).To(gomega.BeNumerically("<", pullTimeout/2))
 }
+
+// Guards against entries that no endpoint can have and that come from a peer of an earlier release, which accepts them.
+func TestOddEntriesOfAPeerNameNoEndpoint(t *testing.T) {
+	g := gomega.NewWithT(t)
+	network := &partlyUnreachable{}
+	network.other = newService(t, network)
+	network.other.update(SourceStore, func(r *registry.Registry, now time.Duration) []registry.Change {
+		return r.Replace(now, registry.Snapshot{Revision: 7, Entries: []registry.Entry{
+			{ID: "e", Service: "s", Address: "10.0.0.3:80", Zone: "z", Slots: 3, Revision: 5},
+			{ID: "odd-1", Service: "s", Address: "10.0.0.4:0", Zone: "z", Slots: 3, Revision: 6},
+			{ID: "odd-2", Service: "s", Address: "10.0.0.5:80", Zone: "z", Slots: math.MaxInt64, Revision: 7},
+		}})
+	})
+	s := newService(t, network)
+	g.Eventually(func() int {
+		s.ObservePeer("10.0.0.4:7000", true, network.other.Summary())
+		return len(s.View().ByID)
+	}, pullTimeout, "10ms").Should(gomega.BeNumerically(">", 0))
+	g.Expect(s.View().ByID).To(gomega.HaveLen(1))
+	g.Expect(s.View().ByID).To(gomega.HaveKey("e"))
+}
--- a/pkg/discovery/readers.go
+++ b/pkg/discovery/readers.go
@@ -231,8 +231,12 @@
 	s.options.Decisions.Record(decision.Decision{Step: stepStore, Outcome: "lost", Reason: err.Error()})
 }
 
-// maxLoggedErrors is the number of errors that are remembered so that each is logged only once.
-const maxLoggedErrors = 1024
+const (
+	// maxLoggedErrors is the number of errors that are remembered so that each is logged only once.
+	maxLoggedErrors = 1024
+	// maxLoggedBytes is the length of an error that is logged. Errors may quote a value of the store, which may be long.
+	maxLoggedBytes = 1000
+)
 
 // logInvalid logs a value of the store that could not be decoded, only once.
 func (s *Service) logInvalid(err error) {
@@ -241,14 +245,16 @@
 
 // logOnce logs an error the first time that it occurs.
 func (s *Service) logOnce(message string, err error) {
+	text := err.Error()
+	text = text[:min(len(text), maxLoggedBytes)]
 	s.mu.Lock()
-	known := s.loggedErrors[err.Error()]
+	known := s.loggedErrors[text]
 	if len(s.loggedErrors) >= maxLoggedErrors {
 		clear(s.loggedErrors)
 	}
-	s.loggedErrors[err.Error()] = true
+	s.loggedErrors[text] = true
 	s.mu.Unlock()
 	if !known {
-		s.options.Logger.Warn(message, "error", err)
+		s.options.Logger.Warn(message, "error", text)
 	}
 }
--- a/pkg/discovery/transfer.go
+++ b/pkg/discovery/transfer.go
@@ -112,6 +112,17 @@
 	if err := reply.unpack(&endpoints); err != nil {
 		return 0, fmt.Errorf("endpoints of peer %s: %w", address, err)
 	}
+	for n := range endpoints.Snapshot.Entries {
+		e := &endpoints.Snapshot.Entries[n]
+		if e.Removed {
+			continue
+		}
+		// The peer may be of an earlier release, which accepts more.
+		if err := e.Check(); err != nil {
+			s.logOnce("unusable entry of a peer", fmt.Errorf("endpoint %.64q: %w", e.ID, err))
+			e.Removed = true
+		}
+	}
 	s.update(address, func(g *registry.Registry, now time.Duration) []registry.Change {
 		if endpoints.Snapshot.From > 0 {
 			return g.MergeChanges(now, endpoints.Snapshot)
