Read the same announcements in fleets with published hosts

The second data path, pkg/ingress and pkg/owner, read nothing that backend servers say of themselves either. They may now send Agatepulley-Limit and Agatepulley-Leaving: the owner keeps the limit in the queue that both paths share and counts a leaving backend server like a draining endpoint. Ingresses see it as loaded, are not charged for a refusal by the limit, and remember what an owner told so that it knows after a restart. The interface has no start times of backend servers: what they announced holds until they were down, a leaving for a minute after the latest response at most, and for 10 s if only others remember it.

--- a/core/announce/book.go
+++ b/core/announce/book.go
@@ -18,6 +18,20 @@
 	Before, After State
 }
 
+// Outcome names the change in decision lines.
+func (c Change) Outcome() string {
+	switch {
+	case c.After.Leaving && !c.Before.Leaving:
+		return "leaving"
+	case c.After.Limited && !c.Before.Limited:
+		return "limited"
+	case c.After.Limited:
+		return "limit-changed"
+	default:
+		return "limit-ended"
+	}
+}
+
 // record is the state of an endpoint with what is needed to judge the next response.
 type record struct {
 	State
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -122,6 +122,10 @@
 	HeaderWorkspace = "Agatepulley-Workspace"
 	// HeaderKey holds the idempotency key of the request.
 	HeaderKey = "Idempotency-Key"
+	// HeaderLimit and HeaderLeaving are set by backend servers of a published configuration: the number of requests per second
+	// that they take from all nodes together, and "1" once they are leaving.
+	HeaderLimit   = "Agatepulley-Limit"
+	HeaderLeaving = "Agatepulley-Leaving"
 	// HeaderRecorded holds, in the response to a duplicate, the recorded state of the attempt that holds the key.
 	HeaderRecorded = "Agatepulley-Recorded"
 
@@ -140,7 +144,8 @@
 	// HeaderHopSuspect holds, in the response to a request that crashed an endpoint or is refused as one that does, the
 	// crashes known of its fingerprint.
 	HeaderHopSuspect = HopPrefix + "Suspect"
-	// HeaderHopAnnounced holds what the sending node knows of the announcements of the endpoint.
+	// HeaderHopAnnounced holds what the sending node knows of the announcements of the endpoint, in requests and, from owners of a
+	// published configuration, in responses.
 	HeaderHopAnnounced = HopPrefix + "Announced"
 	// HeaderHopLoad holds, in a response, the load of the endpoint.
 	HeaderHopLoad = HopPrefix + "Load"
--- a/pkg/announcements/announcements.go
+++ b/pkg/announcements/announcements.go
@@ -124,7 +124,7 @@
 // record logs a change. The caller holds the lock.
 func (s *Service) record(id string, c announce.Change, source string) {
 	d := decision.Decision{
-		Step: stepAnnouncement, Subject: id, Outcome: outcomeOf(c), Reason: source,
+		Step: stepAnnouncement, Subject: id, Outcome: c.Outcome(), Reason: source,
 		Inputs: map[string]any{"version": c.After.Version, "born": c.After.StartedAtMS},
 	}
 	if e := s.options.View().ByID[id]; e != nil {
@@ -139,20 +139,6 @@
 	s.options.Decisions.Record(d)
 }
 
-// outcomeOf names a change in decision lines.
-func outcomeOf(c announce.Change) string {
-	switch {
-	case c.After.Leaving && !c.Before.Leaving:
-		return "leaving"
-	case c.After.Limited && !c.Before.Limited:
-		return "limited"
-	case c.After.Limited:
-		return "limit-changed"
-	default:
-		return "limit-ended"
-	}
-}
-
 // logUnreadable logs the first unreadable announcement of an endpoint. The caller holds the lock.
 func (s *Service) logUnreadable(id string, err error) {
 	if err == nil || s.logged[id] || len(s.logged) >= maxLoggedErrors {
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -12,6 +12,7 @@
 	"agatepulley.example/agatepulley/core/faultfilter"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/registry"
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -83,10 +84,10 @@
 	// waiting holds, by attempt, the channels on which queued requests receive nil when they are granted a slot, or the
 	// error with which they are refused.
 	waiting map[string]chan error
-	// startTimer is set while a timer runs that starts the next queued request when the limit on the rate allows it.
-	startTimer bool
-	running    map[string]*running
-	filter     faultfilter.Filter
+	running map[string]*running
+	// paced advances the queue when the limit on the rate lets the next request start.
+	paced  clock.Alarm
+	filter faultfilter.Filter
 	// meanTime is the mean service time over all routes, or 0 if no request has succeeded yet; routeTimes holds the mean
 	// of each route.
 	meanTime   time.Duration
@@ -340,19 +341,16 @@
 	e.scheduleStart(now)
 }
 
-// scheduleStart sets the timer for the next queued request if the limit on the rate holds it up. The caller holds the lock.
+// scheduleStart advances the queue when the limit on the rate lets the next request start, if it holds that up. The caller holds
+// the lock.
 func (e *endpoint) scheduleStart(now time.Duration) {
-	wait, held := e.queue.UntilStart(now)
-	if !held || e.startTimer {
-		return
+	if wait, held := e.queue.UntilStart(now); held {
+		e.paced.Set(wait, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.advance(e.dispatcher.now())
+		})
 	}
-	e.startTimer = true
-	time.AfterFunc(wait, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.startTimer = false
-		e.advance(e.dispatcher.now())
-	})
 }
 
 // decide hands a queued request its decision: nil grants a slot, an error refuses the request. The caller holds the lock.
--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -4,7 +4,6 @@
 package hop
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -46,7 +45,7 @@
 	// CallerService is the service on whose host the request originated. It is empty if backend servers are not told.
 	CallerService string
 	// Announced is what the ingress knows of the announcements of the endpoint. The node beside the endpoint may have been
-	// restarted since. Package ingress does not set it.
+	// restarted since.
 	Announced announce.State
 }
 
@@ -92,9 +91,7 @@
 		h.Set(outcome.HeaderHopCaller, m.CallerService)
 	}
 	if m.Announced.Version > 0 {
-		// Encoding cannot fail: a state holds finite numbers and flags.
-		text, _ := json.Marshal(m.Announced)
-		h.Set(outcome.HeaderHopAnnounced, string(text))
+		h.Set(outcome.HeaderHopAnnounced, encodeAnnounced(m.Announced))
 	}
 }
 
@@ -110,11 +107,9 @@
 			return nil, fmt.Errorf("parse header %s: %w", outcome.HeaderHopPriority, err)
 		}
 	}
-	var announced announce.State
-	if text := h.Get(outcome.HeaderHopAnnounced); text != "" {
-		if err := json.Unmarshal([]byte(text), &announced); err != nil {
-			return nil, fmt.Errorf("parse header %s: %w", outcome.HeaderHopAnnounced, err)
-		}
+	announced, err := decodeAnnounced(h.Get(outcome.HeaderHopAnnounced))
+	if err != nil {
+		return nil, err
 	}
 	class := strings.Split(h.Get(outcome.HeaderHopClass), ",")
 	maxWait, err := readMaxWait(class)
--- a/pkg/hop/server.go
+++ b/pkg/hop/server.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 )
@@ -54,3 +55,32 @@
 	}
 	return &record, nil
 }
+
+// WriteAnnounced adds what the endpoint of an attempt has announced to the response, so that the ingress can tell it to the owner
+// after a restart.
+func WriteAnnounced(c *app.RequestContext, announced announce.State) {
+	if announced.Version > 0 {
+		c.Response.Header.Set(outcome.HeaderHopAnnounced, encodeAnnounced(announced))
+	}
+}
+
+// ReadAnnounced returns what WriteAnnounced has added to a response, or a state without announcements.
+func ReadAnnounced(h *protocol.ResponseHeader) (announce.State, error) {
+	return decodeAnnounced(h.Get(outcome.HeaderHopAnnounced))
+}
+
+func encodeAnnounced(announced announce.State) string {
+	// Encoding cannot fail: a state holds finite numbers and flags.
+	text, _ := json.Marshal(announced)
+	return string(text)
+}
+
+func decodeAnnounced(text string) (announced announce.State, err error) {
+	if text == "" {
+		return announced, nil
+	}
+	if err := json.Unmarshal([]byte(text), &announced); err != nil {
+		return announced, fmt.Errorf("parse header %s: %w", outcome.HeaderHopAnnounced, err)
+	}
+	return announced, nil
+}
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -47,6 +47,7 @@
 		Long:        r.long,
 		MaxWait:     p.maxWait,
 		Remaining:   time.Until(r.deadline),
+		Announced:   v.announced(p.entry.id),
 	}
 	request := &transport.Request{Head: relay.CopyRequestHead(r.head)}
 	r.body.Attach(request)
@@ -155,6 +156,11 @@
 		p.queueTime = load.QueueTime
 		v.observeLoad(p.entry.id, load)
 	}
+	if announced, err := hop.ReadAnnounced(header); err != nil {
+		i.options.Logger.Warn("unreadable announcements of an endpoint", "peer", peer, "error", err)
+	} else {
+		v.learnAnnounced(p.entry.id, announced)
+	}
 	reported := outcome.Outcome(header.Get(outcome.HeaderOutcome))
 	if reported == outcome.Answered {
 		return response, nil
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -232,7 +232,7 @@
 // unreached reports whether the owner was not reached or takes no work, so that the attempt cost the service nothing.
 func unreached(failure *outcome.Error) bool {
 	switch failure.Reason {
-	case outcome.ReasonConnect, outcome.ReasonLeaving, outcome.ReasonDown, outcome.ReasonNotReady:
+	case outcome.ReasonConnect, outcome.ReasonLeaving, outcome.ReasonDown, outcome.ReasonNotReady, outcome.ReasonLimited:
 		return failure.Outcome == outcome.NotRun
 	default:
 		return false
--- a/pkg/ingress/view.go
+++ b/pkg/ingress/view.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/balance"
 	"agatepulley.example/agatepulley/core/health"
 	"agatepulley.example/agatepulley/core/outcome"
@@ -71,6 +72,8 @@
 	// unavailableReports holds the entries whose owner reported them as down or leaving, until the report expires.
 	unavailableReports map[string]*entry
 	localCount         int
+	// announcements holds what owners have told of the announcements of their endpoints, which may be restarted and forget them.
+	announcements *announce.Book
 	// lastID is the latest ID under which an attempt was registered with the detector.
 	lastID uint64
 }
@@ -82,6 +85,7 @@
 		rng:                rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		byID:               make(map[string]*entry),
 		unavailableReports: make(map[string]*entry),
+		announcements:      announce.NewBook(),
 		detector:           health.NewDetector(service.Name, healthSettings(service)),
 		budget:             retry.New(retrySettings(service)),
 	}
@@ -212,6 +216,20 @@
 	v.applyTransitions(v.detector.RecordOwnerScore(v.now(), endpoint, load.StallScore))
 }
 
+// learnAnnounced records what an owner has told of the announcements of its endpoint.
+func (v *view) learnAnnounced(endpoint string, told announce.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.announcements.Learn(endpoint, told, v.now())
+}
+
+// announced returns what an endpoint has announced, as far as known here.
+func (v *view) announced(endpoint string) announce.State {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.announcements.State(endpoint, 0)
+}
+
 // pick is the endpoint chosen for an attempt, with the state of that attempt.
 type pick struct {
 	entry *entry
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -12,6 +12,7 @@
 	"agatepulley.example/agatepulley/core/health"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/attempts"
+	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/news"
@@ -42,6 +43,10 @@
 	detector  *health.Detector
 	nextToken uint64
 	stalled   bool
+
+	announcements *announcements
+	// paced advances the queue when an announced limit lets the next request start.
+	paced clock.Alarm
 }
 
 func newEndpoint(o *Owner, ref config.EndpointRef, address string) *endpoint {
@@ -51,8 +56,10 @@
 		address: address,
 		pool:    transport.NewPool(address, backendPoolOptions(), &o.stats),
 		waiting: make(map[string]chan error),
+
+		announcements: newAnnouncements(ref.ID),
 	}
-	e.life = newLifecycle(o.options.Incarnation, func(hop.State) { o.notify(ref.ID, e.load()) })
+	e.life = newLifecycle(o.options.Incarnation, e.stateChanged)
 	return e
 }
 
@@ -101,11 +108,17 @@
 
 func (e *endpoint) load() hop.Load {
 	e.mu.Lock()
+	now := e.owner.now()
 	load := e.queue.Load()
-	score := e.detector.StallScore(e.owner.now(), e.id)
+	score := e.detector.StallScore(now, e.id)
+	announced := e.announced(now)
+	if announced.Limited && e.queue.Credit(now) < 1 {
+		// Ingresses compare loads, and must not take the idle slots for free ones.
+		load.Busy, load.Queued = load.Slots, load.Queued+load.Slots
+	}
 	e.mu.Unlock()
 	state := e.life.state()
-	if e.owner.Leaving() || e.draining.Load() {
+	if e.owner.Leaving() || e.draining.Load() || announced.Leaving {
 		state = hop.StateLeaving
 	}
 	return hop.Load{
@@ -119,6 +132,14 @@
 	}
 }
 
+// inFlight returns the number of requests that are queued or running.
+func (e *endpoint) inFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := e.queue.Load()
+	return load.Busy + load.Queued
+}
+
 // run admits a request, claims its key if needed, and dispatches it.
 func (e *endpoint) run(ctx context.Context, r *Request) (*transport.Response, *outcome.Error) {
 	var failure *outcome.Error
@@ -199,6 +220,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.queue.Resize(e.effectiveSlots())
+	e.announced(now)
 	decided := e.queue.Offer(now, admission.Item{
 		ID:        r.Attempt,
 		Long:      r.Long,
@@ -212,6 +234,7 @@
 	case admission.Queued:
 		granted := make(chan error, 1)
 		e.waiting[r.Attempt] = granted
+		e.scheduleStart(now)
 		return granted, nil
 	default:
 		return nil, e.owner.refuse(r, stepAdmit, admissionReason(decided.Reason), nil)
@@ -257,6 +280,7 @@
 // advance tells the waiting requests what the queue decided. The caller holds the lock.
 func (e *endpoint) advance(now time.Duration) {
 	e.queue.Resize(e.effectiveSlots())
+	e.announced(now)
 	for _, item := range e.queue.Next(now) {
 		e.tell(item.ID, nil)
 	}
@@ -264,6 +288,7 @@
 	for _, item := range e.queue.Expire(now) {
 		e.tell(item.ID, errRefusedInQueue)
 	}
+	e.scheduleStart(now)
 }
 
 func (e *endpoint) tell(attempt string, err error) {
@@ -305,6 +330,9 @@
 	if expired(ctx) {
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonDeadline, context.Cause(ctx))
 	}
+	if e.leaves() {
+		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonLeaving, nil)
+	}
 	if !r.Repeatable && !e.owner.mayRunOnce() {
 		return nil, e.owner.refuse(r, stepDispatch, outcome.ReasonStaleAfterPause, nil)
 	}
@@ -318,6 +346,7 @@
 	e.endWork(token, failure)
 	if failure == nil {
 		e.owner.registry.Set(r.Attempt, attempts.Answered)
+		e.observe(r, &response.Head.Header, token.begin)
 		e.succeeded(r)
 	}
 	return response, failure
@@ -426,6 +455,8 @@
 		return outcome.ReasonDeadline
 	case admission.ReasonBusy:
 		return outcome.ReasonBusy
+	case admission.ReasonLimited:
+		return outcome.ReasonLimited
 	default:
 		return outcome.ReasonQueueFull
 	}
--- a/pkg/owner/lifecycle.go
+++ b/pkg/owner/lifecycle.go
@@ -170,7 +170,7 @@
 
 // maintain brings the slots of an endpoint in line with its state.
 func (e *endpoint) maintain() {
-	if e.life.state() == hop.StateDown {
+	if e.life.state() == hop.StateDown || e.leaves() {
 		e.probe()
 	}
 	if e.life.warmth() >= 1 {
@@ -195,7 +195,7 @@
 	return e.stalled || before
 }
 
-// probe tries to connect to a backend server that is down, apart from the watch, which must not be delayed.
+// probe tries to connect to a backend server that is down or leaves, apart from the watch, which must not be delayed.
 func (e *endpoint) probe() {
 	if !e.probing.CompareAndSwap(false, true) {
 		return
@@ -204,6 +204,8 @@
 		defer e.probing.Store(false)
 		if e.connects() {
 			e.life.reached()
+		} else {
+			e.life.refused()
 		}
 	}()
 }
@@ -217,13 +219,14 @@
 	return 1 + int(float64(e.slots-1)*e.life.warmth())
 }
 
-// crashed reports whether the backend server no longer accepts connections.
+// crashed reports whether the backend server no longer accepts connections although it had not announced that it is leaving.
 func (e *endpoint) crashed() bool {
+	leaving := e.leaves()
 	if e.connects() {
 		return false
 	}
 	e.life.refused()
-	return true
+	return !leaving
 }
 
 func (e *endpoint) connects() bool {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/pkg/attempts"
@@ -197,8 +198,7 @@
 	defer o.mu.RUnlock()
 	total := 0
 	for _, e := range o.endpoints {
-		load := e.load()
-		total += load.Busy + load.Queued
+		total += e.inFlight()
 	}
 	return total
 }
@@ -223,6 +223,28 @@
 	return e.load(), true
 }
 
+// Announced returns what the backend server of an endpoint has announced in its responses.
+func (o *Owner) Announced(id string) announce.State {
+	e := o.endpoint(id)
+	if e == nil {
+		return announce.State{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.announced(o.now())
+}
+
+// Learn records what another node remembers of the announcements of an endpoint's backend server.
+func (o *Owner) Learn(id string, told announce.State) {
+	e := o.endpoint(id)
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.announcements.learn(told, o.now())
+}
+
 // Withdraw takes an attempt out of the queue if it was not dispatched yet, and returns what became of it.
 func (o *Owner) Withdraw(id string) attempts.State {
 	if o.registry.Inquire(id) != attempts.Queued {
@@ -259,7 +281,7 @@
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonNotReady, nil)
 	case e == nil:
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonUnknownEndpoint, nil)
-	case o.Leaving() || e.draining.Load():
+	case o.Leaving() || e.draining.Load() || e.leaves():
 		return nil, o.refuse(r, stepAdmit, outcome.ReasonLeaving, nil)
 	}
 	return e.run(ctx, r)
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -72,12 +73,16 @@
 	owner *owner.Owner
 	clock *fakeClock
 	runs  sync.Map
+	// announced are header fields of the backend server's responses.
+	announced http.Header
+	server    *httptest.Server
 }
 
 // backend counts the runs of each request by its path.
 func (f *fixture) backend(w http.ResponseWriter, r *http.Request) {
 	counter, _ := f.runs.LoadOrStore(r.URL.Path, new(atomic.Int32))
 	counter.(*atomic.Int32).Add(1)
+	maps.Copy(w.Header(), f.announced)
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -114,6 +119,7 @@
 		f.backend(w, r)
 	}))
 	t.Cleanup(backend.Close)
+	f.server = backend
 	options.Host, options.Backends = "h1", map[string]string{"e1": backend.Listener.Addr().String()}
 	options.Decisions, options.Clock = decision.NewRecorder(quietLog(t), decision.DefaultCapacity), f.clock
 	options.Fresh = func() bool { return true }
@@ -127,16 +133,17 @@
 }
 
 func (f *fixture) do(attempt, path string, repeatable bool) *outcome.Error {
+	return f.doMeta(hop.Meta{RequestID: attempt, Attempt: attempt, Service: "s", Endpoint: "e1", Key: path, Repeatable: repeatable}, path)
+}
+
+func (f *fixture) doMeta(meta hop.Meta, path string) *outcome.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	head := &protocol.Request{}
 	head.Header.SetMethod("POST")
 	head.Header.SetRequestURI(path)
 	head.Header.SetHost("test")
-	request := &owner.Request{
-		Meta:      hop.Meta{RequestID: attempt, Attempt: attempt, Service: "s", Endpoint: "e1", Key: path, Repeatable: repeatable},
-		Transport: &transport.Request{Head: head},
-	}
+	request := &owner.Request{Meta: meta, Transport: &transport.Request{Head: head}}
 	response, failure := f.owner.Do(ctx, request)
 	if failure == nil {
 		_, _ = io.Copy(io.Discard, response.Body)
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -34,6 +34,7 @@
 }
 
 func (o *Owner) serve(parent context.Context, c *app.RequestContext, meta *hop.Meta) {
+	o.Learn(meta.Endpoint, meta.Announced)
 	ctx, cancel := relay.WithTimeout(parent, meta.Remaining)
 	defer cancel()
 	hop.EchoAttempt(c, meta)
@@ -79,6 +80,7 @@
 	if load, ok := o.Load(r.Endpoint); ok {
 		load.QueueTime = r.Waited
 		c.Response.Header.Set(outcome.HeaderHopLoad, load.String())
+		hop.WriteAnnounced(c, o.Announced(r.Endpoint))
 	}
 }
 
