Look beyond the linked endpoints when their limits leave no room

In a large fleet a node chooses among the endpoints of about 36 hosts. If all of these had announced limits without room, requests waited or were refused although others had none. The node now considers all endpoints then, as it does when the linked ones have been tried; what it does not know of them it learns from the first response. TestCandidatesAreThoseWithALinkFirst got a case that failed before (two candidates instead of five).

Limits whose value changes with each response no longer cause a report to all linked nodes each time, and the decision line of a request that is refused at admission names the wait.

--- a/pkg/announcements/announcements.go
+++ b/pkg/announcements/announcements.go
@@ -50,7 +50,8 @@
 }
 
 // Observe records a response of an endpoint on this host to a request that was sent at sentAt. It reports whether the
-// other nodes should be told of a change.
+// other nodes should be told of a change at once. The value of a limit may change with each response; its changes go with the
+// periodic reports.
 func (s *Service) Observe(id string, response announce.Response, sentAt time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,7 +63,7 @@
 	if changed {
 		s.record(id, change, sourceResponse)
 	}
-	return changed
+	return changed && (change.After.Limited != change.Before.Limited || change.After.Leaving != change.Before.Leaving)
 }
 
 // Learn records what another node knows of an endpoint.
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -261,7 +262,8 @@
 		e.scheduleStart(now)
 		return granted, nil
 	default:
-		return nil, refuse(r, stepAdmit, refusalReason(decided.Reason), nil)
+		err := fmt.Errorf("the request would wait %v", decided.Wait)
+		return nil, refuse(r, stepAdmit, refusalReason(decided.Reason), err)
 	}
 }
 
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -138,13 +138,14 @@
 }
 
 // candidates returns the endpoints that accept requests and whose condition is reported to this node. If the request has
-// tried all of these, it returns all endpoints that accept requests.
+// tried all of these, or their limits leave no room now, it returns all endpoints that accept requests.
 func (f *Forwarder) candidates(fl *flight, endpoints []*registry.Endpoint) ([]placement.Candidate, []*registry.Endpoint) {
 	linked := slices.DeleteFunc(slices.Clone(endpoints), func(e *registry.Endpoint) bool {
 		return !f.options.Conditions.Linked(registry.HostIP(e.Address))
 	})
 	candidates, usable := f.describe(fl, linked)
-	if len(linked) < len(endpoints) && !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Tried }) {
+	hasRoom := func(c placement.Candidate) bool { return !c.Tried && c.Wait() == 0 }
+	if len(linked) < len(endpoints) && !slices.ContainsFunc(candidates, hasRoom) {
 		return f.describe(fl, endpoints)
 	}
 	return candidates, usable
--- a/pkg/forward/choose_test.go
+++ b/pkg/forward/choose_test.go
@@ -27,13 +27,13 @@
 }
 func (c partlyLinked) Path(string) (broken float64, leaving bool) { return 0, false }
 
-// noAnnouncements is a fleet whose endpoints have announced nothing.
-type noAnnouncements struct{}
+// announced holds what endpoints have announced, by their IDs.
+type announced map[string]announce.State
 
-func (noAnnouncements) State(string) announce.State { return announce.State{} }
+func (a announced) State(id string) announce.State { return a[id] }
 
 // Guards against requests that are sent to endpoints whose condition is not reported to this node while there are others,
-// and against requests that are refused although untried endpoints without a report remain.
+// and against requests that are refused although untried endpoints without a report remain, or some without a limit.
 func TestCandidatesAreThoseWithALinkFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	endpoints := make([]*registry.Endpoint, 6)
@@ -44,7 +44,7 @@
 	}
 	f := New(Options{
 		IP: "10.0.0.100", Zone: "a", Clock: clock.NewBootTime(),
-		Conditions: partlyLinked{linked: []string{"10.0.0.1", "10.0.0.4"}}, Announcements: noAnnouncements{},
+		Conditions: partlyLinked{linked: []string{"10.0.0.1", "10.0.0.4"}}, Announcements: announced{},
 	})
 	fl := &flight{forwarder: f, request: &request{route: &routing.Route{}}, tried: make(map[string]bool)}
 	ids := func() []string {
@@ -60,6 +60,10 @@
 	g.Expect(ids()).To(gomega.Equal([]string{"e1", "e4"}))
 	fl.tried["e4"] = true
 	g.Expect(ids()).To(gomega.HaveLen(6))
+	fl.tried = make(map[string]bool)
+	f.options.Announcements = announced{"e1": {Limited: true, Limit: 1}, "e4": {Limited: true, Limit: 2}, "e5": {Leaving: true}}
+	g.Expect(ids()).To(gomega.Equal([]string{"e0", "e1", "e2", "e3", "e4"}))
+	f.options.Announcements = announced{}
 	f.options.Conditions = partlyLinked{}
 	g.Expect(ids()).To(gomega.HaveLen(6))
 }
