--- a/pkg/announcements/announcements.go
+++ b/pkg/announcements/announcements.go
@@ -5,6 +5,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agatepulley.example/agatepulley/core/announce"
@@ -37,6 +38,9 @@
 // Service holds the announcements. It is safe for concurrent use.
 type Service struct {
 	options Options
+	// any is set once an endpoint has announced something. Until then State, which is called for each candidate of each choice,
+	// takes no lock.
+	any atomic.Bool
 
 	mu   sync.Mutex
 	book *announce.Book
@@ -61,6 +65,7 @@
 		ReceivedMS: time.Now().UnixMilli(),
 	})
 	if changed {
+		s.any.Store(true)
 		s.record(id, change, sourceResponse)
 	}
 	return changed && (change.After.Limited != change.Before.Limited || change.After.Leaving != change.Before.Leaving)
@@ -68,6 +73,10 @@
 
 // Learn records what another node knows of an endpoint.
 func (s *Service) Learn(id string, told announce.State) {
+	if told.Version == 0 {
+		return
+	}
+	s.any.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if change, changed := s.book.Learn(id, told, s.options.Clock.Now()); changed {
@@ -77,6 +86,9 @@
 
 // State returns what an endpoint has announced.
 func (s *Service) State(id string) announce.State {
+	if !s.any.Load() {
+		return announce.State{}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.book.State(id, s.startedAt(id))
