Send requests to a limited endpoint again after its node was restarted

The endpoint never got a request again. A restarted dispatcher knows of no limit and reports no credit; the forwarders, which know the limit, took each report for a credit of 0, so that none of them sent the request that would have told the dispatcher. The credit of before now counts on until a report knows of the limit, and an endpoint of which there is no report counts as having room for a request.

TestRestartedDispatcherDoesNotEraseCredit is new.

--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -185,7 +185,7 @@
 		c.RoundTrip = 0
 		var own reports.Endpoint
 		own, ok = f.options.Dispatcher.Report(e.ID)
-		known = reports.ReceivedEndpoint{Endpoint: own, ReceivedAt: now}
+		known = reports.ReceivedEndpoint{Endpoint: own, ReceivedAt: now, CreditAt: now}
 	} else {
 		var leaving bool
 		if c.PathFailProbability, leaving = f.options.Conditions.Path(host); leaving {
@@ -196,7 +196,8 @@
 	if announced.Leaving {
 		return c, false
 	}
-	c.Limited, c.Limit = announced.Limited, announced.Limit
+	// Without a report there may be room; the dispatcher knows.
+	c.Limited, c.Limit, c.Credit = announced.Limited, announced.Limit, 1
 	if ok {
 		f.applyReport(now, &c, known)
 	}
@@ -219,7 +220,7 @@
 		c.Busy, c.Queued = known.Busy, known.Queued
 	}
 	if c.Limited {
-		c.Credit = pacing.Project(c.Limit, known.Credit, age)
+		c.Credit = pacing.Project(c.Limit, known.Credit, now-known.CreditAt)
 	}
 	if known.ServiceTimeMS > 0 {
 		c.ServiceTime = time.Duration(known.ServiceTimeMS) * time.Millisecond
--- a/pkg/forward/choose_test.go
+++ b/pkg/forward/choose_test.go
@@ -19,11 +19,16 @@
 type partlyLinked struct {
 	Conditions
 	linked []string
+	// reported is the latest report on each endpoint, or nil if there are none.
+	reported *reports.ReceivedEndpoint
 }
 
 func (c partlyLinked) Linked(ip string) bool { return slices.Contains(c.linked, ip) }
 func (c partlyLinked) Endpoint(string) (reports.ReceivedEndpoint, bool) {
-	return reports.ReceivedEndpoint{}, false
+	if c.reported == nil {
+		return reports.ReceivedEndpoint{}, false
+	}
+	return *c.reported, true
 }
 func (c partlyLinked) Path(string) (broken float64, leaving bool) { return 0, false }
 
@@ -62,6 +67,9 @@
 	g.Expect(ids()).To(gomega.HaveLen(6))
 	fl.tried = make(map[string]bool)
 	f.options.Announcements = announced{"e1": {Limited: true, Limit: 1}, "e4": {Limited: true, Limit: 2}, "e5": {Leaving: true}}
+	g.Expect(ids()).To(gomega.Equal([]string{"e1", "e4"}), "without a report there may be room")
+	full := reports.ReceivedEndpoint{Endpoint: reports.Endpoint{Credit: -100}}
+	f.options.Conditions = partlyLinked{linked: []string{"10.0.0.1", "10.0.0.4"}, reported: &full}
 	g.Expect(ids()).To(gomega.Equal([]string{"e0", "e1", "e2", "e3", "e4"}))
 	f.options.Announcements = announced{}
 	f.options.Conditions = partlyLinked{}
--- a/pkg/reports/report.go
+++ b/pkg/reports/report.go
@@ -246,11 +246,14 @@
 	ReceivedAt time.Duration
 	// SentSince counts the requests that this node has sent to the endpoint since then.
 	SentSince int
+	// CreditAt is when Credit was received. It is earlier than ReceivedAt if the latest report knows of no limit.
+	CreditAt time.Duration
 }
 
 // update returns the condition of an endpoint after a report. A node that has restarted has not yet seen a request end, so
 // that it reports only a default failure probability. Then the failure probability and the processing time from before
-// are kept, and their age counts on, because they say more about the endpoint.
+// are kept, and their age counts on, because they say more about the endpoint. So is the credit, as long as the restarted node has
+// not been told of the limit: it is told with the next request, which the endpoint would not get without credit.
 func (k *ReceivedEndpoint) update(e Endpoint, now time.Duration) *ReceivedEndpoint {
 	if k != nil && e.StartAgeMS < 0 && k.StartAgeMS >= 0 {
 		age := now - k.ReceivedAt
@@ -258,5 +261,9 @@
 		e.StartAgeMS = k.StartAgeMS + int(age.Milliseconds())
 		e.ServiceTimeMS = k.ServiceTimeMS
 	}
-	return &ReceivedEndpoint{Endpoint: e, ReceivedAt: now}
+	creditAt := now
+	if k != nil && !e.Announced.Limited {
+		e.Credit, creditAt = k.Credit, k.CreditAt
+	}
+	return &ReceivedEndpoint{Endpoint: e, ReceivedAt: now, CreditAt: creditAt}
 }
--- a/pkg/reports/reports_test.go
+++ b/pkg/reports/reports_test.go
@@ -79,6 +79,21 @@
 	g.Expect(known.Endpoint).To(gomega.Equal(Endpoint{ID: "e", FailPerMille: 20, ServiceTimeMS: 300, StartAgeMS: 5}))
 }
 
+// Guards against an endpoint that never gets a request again, because its restarted node, which knows of no limit, reports no
+// credit.
+func TestRestartedDispatcherDoesNotEraseCredit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var known *ReceivedEndpoint
+	limited := announce.State{Version: 1, Limited: true, Limit: 1}
+	known = known.update(Endpoint{ID: "e", Announced: limited, Credit: -1}, time.Second)
+	known = known.update(Endpoint{ID: "e", StartAgeMS: -1}, 3*time.Second)
+	g.Expect(known.Credit).To(gomega.Equal(-1.0))
+	g.Expect(known.CreditAt).To(gomega.Equal(time.Second))
+	known = known.update(Endpoint{ID: "e", Announced: limited, Credit: 0.5}, 4*time.Second)
+	g.Expect(known.Credit).To(gomega.Equal(0.5))
+	g.Expect(known.CreditAt).To(gomega.Equal(4 * time.Second))
+}
+
 // Guards against a restarted node whose reports are ignored because the wall clock was set back before its start, and
 // against delayed datagrams of the process before the restart.
 func TestRestartAfterTheClockWasSetBackIsHeard(t *testing.T) {
