Do not reuse a connection at the end of its Keep-Alive time

Found while looking for other words of endpoints that no code reads. A request on a connection that the endpoint is just closing is lost, and one that may run once ends with 502. A connection is now not used in the last half second of that time, and not kept at 0.

TestConnectionIsNotReusedAtTheEndOfItsKeepAlive failed before (2 reuses instead of 1) and passes.

--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -20,6 +20,8 @@
 	writeBufferBytes = 4 << 10
 	// unackedTimeout is the time after which the kernel closes a connection whose sent bytes were not acknowledged.
 	unackedTimeout = 3 * time.Second
+	// keepAliveMargin is the time before the end of a peer's Keep-Alive from which a connection is not used any more.
+	keepAliveMargin = 500 * time.Millisecond
 )
 
 // conn is a client connection with the buffered reader and writer that the HTTP codec needs. It carries one request at
@@ -29,6 +31,8 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
+	// keepAlive is how long the peer keeps the connection while it is idle, or 0 if it has not said so.
+	keepAlive time.Duration
 	reused    bool         // whether it has carried earlier requests
 	received  atomic.Int64 // bytes
 }
@@ -67,6 +71,15 @@
 	return socket.StateOf(c.raw) == socket.Idle
 }
 
+// expired reports whether the connection has been idle for too long to be used again: for the given time, or for so long that
+// the peer may be closing it.
+func (c *conn) expired(now time.Time, timeout time.Duration) bool {
+	if c.keepAlive > 0 {
+		timeout = min(timeout, c.keepAlive-min(keepAliveMargin, c.keepAlive/2))
+	}
+	return now.Sub(c.idleSince) > timeout
+}
+
 func (c *conn) close() {
 	_ = c.raw.Close()
 }
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -266,14 +269,27 @@
 
 func (r *Response) releaseConn() {
 	stillOpen := r.pending.stop()
-	reusable := r.complete && stillOpen && !r.untilClose && !r.Head.ConnectionClose()
+	keep, limited := keepAlive(r.Head)
+	reusable := r.complete && stillOpen && !r.untilClose && !r.Head.ConnectionClose() && (!limited || keep > 0)
 	if !reusable {
 		r.pending.conn.close()
 		return
 	}
+	r.pending.conn.keepAlive = keep
 	r.pending.pool.release(r.pending.conn)
 }
 
+// keepAlive returns the time for which the peer keeps an idle connection according to a response, or false if it does not say so.
+func keepAlive(head *protocol.Response) (time.Duration, bool) {
+	for parameter := range strings.SplitSeq(head.Header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.ToLower(strings.TrimSpace(parameter)), "timeout=")
+		if seconds, err := strconv.ParseUint(text, 10, 31); found && err == nil {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
 // body reads a response body and checks that it is complete.
 type body struct {
 	response *Response
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -59,7 +59,8 @@
 type Options struct {
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration
-	// IdleTimeout is the time for which a connection may be unused before CloseExpired closes it.
+	// IdleTimeout is the time for which a connection may be unused before it is closed. It is shorter if the peer says in a
+	// Keep-Alive field that it closes connections earlier.
 	IdleTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections.
 	MaxIdle int
@@ -140,7 +141,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
-		expired := now.Sub(c.idleSince) > p.options.IdleTimeout
+		expired := c.expired(now, p.options.IdleTimeout)
 		if expired {
 			c.close()
 		}
@@ -154,7 +155,7 @@
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if c.usable() && !c.expired(time.Now(), p.options.IdleTimeout) {
 			p.stats.Reused.Add(1)
 			c.reused = true
 			return c, nil
--- a/pkg/transport/pool_test.go
+++ b/pkg/transport/pool_test.go
@@ -188,3 +188,17 @@
 	g.Expect(errors.As(err, &lost)).To(gomega.BeTrue())
 	g.Expect(lost.MaybeSent).To(gomega.BeFalse())
 }
+
+// Guards against a request that is lost because its connection has been idle for as long as the peer keeps it, which it had said.
+func TestConnectionIsNotReusedAtTheEndOfItsKeepAlive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	response := answer("HTTP/1.1 200 OK\r\nKeep-Alive: max=9, timeout=1\r\nContent-Length: 2\r\n\r\nok")
+	pool, stats := newPool(serve(t, response, response))
+	for _, idle := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond} {
+		time.Sleep(idle)
+		_, err := exchange(t.Context(), pool)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(stats.Reused.Load()).To(gomega.Equal(uint64(1)))
+	g.Expect(stats.Dialed.Load()).To(gomega.Equal(uint64(2)))
+}
