--- a/core/account/account.go
+++ b/core/account/account.go
@@ -35,6 +35,8 @@
 	Overload Cause = "no-slot"
 	// Limited means that the endpoints had announced limits on the rate of their requests that left no room.
 	Limited Cause = "limited"
+	// Quarantined requests are refused because they have crashed endpoints.
+	Quarantined Cause = "quarantined"
 	// Deadline means that the request ran at an endpoint until its deadline.
 	Deadline Cause = "deadline"
 	// Unavailable means that the node was starting or stopping, or knew of no endpoint.
@@ -49,7 +51,7 @@
 
 // Causes lists all causes in the order of tables.
 var Causes = []Cause{
-	InTime, Late, Onset, Doubtful, Path, EndpointError, Rejected, Unplaced, Overload, Limited, Deadline, Unavailable, CallerLeft, Invalid,
+	InTime, Late, Onset, Doubtful, Path, EndpointError, Rejected, Unplaced, Overload, Limited, Quarantined, Deadline, Unavailable, CallerLeft, Invalid,
 	Unfinished,
 }
 
@@ -200,6 +202,8 @@
 		return r.refusal()
 	case outcome.ReasonLimited:
 		return Limited
+	case outcome.ReasonQuarantined:
+		return Quarantined
 	case outcome.ReasonDeadline:
 		if outcome.Outcome(end.Outcome) == outcome.NotRun {
 			return r.refusal()
--- a/core/account/account_test.go
+++ b/core/account/account_test.go
@@ -68,6 +68,7 @@
 		{"no queue has room", []account.Event{choose("a", 0, 0), end("send", "not-run", "queue-full", 503, 5)}, account.Overload},
 		{"no queue has room though slots are free", []account.Event{choose("a", 0, 2), end("send", "not-run", "busy", 503, 5)}, account.Unplaced},
 		{"runs until the deadline", []account.Event{choose("a", 0, 2), end("send", "unknown", "deadline", 504, 2000)}, account.Deadline},
+		{"crashes endpoints", []account.Event{end("choose", "not-run", "quarantined", 503, 0)}, account.Quarantined},
 		{"no limit has room", []account.Event{end("choose", "not-run", "limited", 503, 5)}, account.Limited},
 		{"waits until the deadline", []account.Event{choose("a", 0, 0), end("send", "not-run", "deadline", 503, 2000)}, account.Overload},
 		{"no configuration", []account.Event{end("accept", "not-run", "not-ready", 503, 0)}, account.Unavailable},
