--- a/bench/soak/cmd/main.go
+++ b/bench/soak/cmd/main.go
@@ -23,6 +23,7 @@
 	Hosts    int           `long:"hosts" default:"6" description:"nodes of a fleet"`
 	Duration time.Duration `long:"duration" default:"10s" description:"time in which faults start"`
 	Crashing int           `long:"crashing-requests" default:"2" description:"requests that crash each endpoint which runs them"`
+	Silent   bool          `long:"no-announcements" description:"endpoints announce neither limits nor that they leave"`
 	Dir      string        `long:"dir" description:"directory for logs; they are kept for seeds that fail" default:"out/soak"`
 }
 
@@ -89,7 +90,7 @@
 		return false, err.Error()
 	}
 	defer progress.Close()
-	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration, CrashingRequests: o.Crashing}
+	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration, CrashingRequests: o.Crashing, Announcements: !o.Silent}
 	outcome, err := soak.Play(context.Background(), plan, binaries, logs, progress)
 	if err != nil {
 		return false, fmt.Sprintf("seed %d: %v", seed, err)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -167,13 +168,23 @@
 	{"endpoint misbehaves", "endpoint", (*faults).misbehave},
 	{"endpoint leaves", "endpoint", (*faults).replace},
 	{"endpoint crashes", "endpoint", (*faults).crash},
-	{"endpoint announces a limit", "endpoint", func(x *faults, h *host, hold time.Duration, v int) { x.limit(h, float64(v%limitKinds)/2, hold+inTouch) }},
-	{"endpoint announces that it leaves", "endpoint", (*faults).leaveByResponses},
 	{"configuration", "configuration", func(x *faults, _ *host, _ time.Duration, _ int) { x.publish() }},
 }
 
+// announcing are the actions of plans with announcements.
+var announcing = []action{
+	{"endpoint announces a limit", "endpoint", func(x *faults, h *host, hold time.Duration, v int) {
+		x.limit(h, float64(v%limitKinds)/2, hold+inTouch)
+	}},
+	{"endpoint announces that it leaves", "endpoint", (*faults).leaveByResponses},
+}
+
 // play starts faults at random until the context ends, and waits until all have ended.
-func (x *faults) play(ctx context.Context) {
+func (x *faults) play(ctx context.Context, plan Plan) {
+	actions := actions
+	if plan.Announcements {
+		actions = slices.Concat(actions, announcing)
+	}
 	for ctx.Err() == nil {
 		gap := time.Duration(x.rng.ExpFloat64() * float64(meanGap))
 		a := actions[x.rng.IntN(len(actions))]
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -21,6 +21,8 @@
 	Duration time.Duration
 	// CrashingRequests is the number of requests that crash each endpoint that runs them. They are sent again and again.
 	CrashingRequests int
+	// Announcements lets endpoints announce limits and their leaving at random, among the other faults.
+	Announcements bool
 	// Limits are limits, in requests per second, that as many endpoints announce in their responses. If Leaving is set, another
 	// endpoint announces that it is leaving, and its entry stays as it is.
 	Limits  []float64
@@ -111,7 +113,7 @@
 	if plan.NoOtherFaults {
 		<-striking.Done()
 	} else {
-		x.play(striking)
+		x.play(striking, plan)
 	}
 	say("all faults have ended")
 	unserved := awaitRecovery(ctx, f, c)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -39,7 +39,7 @@
 		}
 		var plan soak.Plan
 		var seconds int
-		if _, err := fmt.Sscan(text, &plan.Seed, &plan.Hosts, &seconds, &plan.CrashingRequests); err != nil {
+		if _, err := fmt.Sscan(text, &plan.Seed, &plan.Hosts, &seconds, &plan.CrashingRequests, &plan.Announcements); err != nil {
 			t.Fatalf("seeds.txt: %q: %v", text, err)
 		}
 		plan.Duration = time.Duration(seconds) * time.Second
