Do not end a limit by a response that cannot be trusted

An unsigned response that announced a leaving, or something unreadable, also counted as one without a limit and ended it.

--- a/core/announce/announce.go
+++ b/core/announce/announce.go
@@ -27,6 +27,11 @@
 	Leaving bool `json:"g,omitempty"`
 }
 
+// Restricts reports whether the endpoint takes fewer requests than it could run.
+func (s State) Restricts() bool {
+	return s.Limited || s.Leaving
+}
+
 // ChangedAt returns the time of the latest change.
 func (s State) ChangedAt() time.Time {
 	return time.UnixMilli(int64(s.Version))
--- a/core/announce/announce_test.go
+++ b/core/announce/announce_test.go
@@ -57,11 +57,12 @@
 		g.Expect(r.Limited).To(gomega.Equal(c.limited), "%q", c.limits)
 		g.Expect(r.Limit).To(gomega.Equal(c.limit), "%q", c.limits)
 		g.Expect(r.Unreadable != nil).To(gomega.Equal(c.malformed), "%q", c.limits)
-		g.Expect(r.LimitUnreadable).To(gomega.Equal(c.malformed && !c.limited), "%q", c.limits)
+		g.Expect(r.LimitUnknown).To(gomega.Equal(c.malformed && !c.limited), "%q", c.limits)
 	}
 	g := gomega.NewWithT(t)
 	g.Expect(announce.ReadResponse(nil, []string{"1"}).Leaving).To(gomega.BeTrue())
-	for _, text := range []string{"0", "", "true", "11"} {
+	g.Expect(announce.ReadResponse(nil, []string{"0"})).To(gomega.Equal(announce.Response{}))
+	for _, text := range []string{"", "true", "11"} {
 		r := announce.ReadResponse(nil, []string{text})
 		g.Expect(r.Leaving).To(gomega.BeFalse(), text)
 		g.Expect(r.Unreadable).To(gomega.HaveOccurred(), text)
@@ -89,7 +90,7 @@
 	g.Expect(b.State("e", born)).To(gomega.HaveField("Limit", 2.0))
 	b.Observe("e", received(limit(1), 4*second, 8*second))
 	g.Expect(b.State("e", born)).To(gomega.HaveField("Limit", 1.0))
-	b.Observe("e", received(announce.Response{LimitUnreadable: true}, 8*second, 9*second))
+	b.Observe("e", received(announce.Response{LimitUnknown: true}, 8*second, 9*second))
 	g.Expect(b.State("e", born)).To(gomega.HaveField("Limited", true))
 	b.Observe("e", received(announce.Response{}, 8*second, 10*second))
 	g.Expect(b.State("e", born)).To(gomega.HaveField("Limited", false))
--- a/core/announce/book.go
+++ b/core/announce/book.go
@@ -75,7 +75,7 @@
 	before := k.State
 	announced := State{Limited: r.Limited, Limit: r.Limit}
 	overlaps := k.observed && r.SentAt < k.limitAt
-	if !r.LimitUnreadable && !(overlaps && announced.allowsMoreThan(k.State)) {
+	if !r.LimitUnknown && !(overlaps && announced.allowsMoreThan(k.State)) {
 		k.Limited, k.Limit = r.Limited, r.Limit
 		k.observed = true
 	}
--- a/core/announce/response.go
+++ b/core/announce/response.go
@@ -13,19 +13,22 @@
 	Limited bool
 	Limit   float64
 	Leaving bool
-	// Unreadable holds the errors of the values that are not understood, or nil. If LimitUnreadable is set, a limit is
-	// announced, but no value of it is understood.
-	Unreadable      error
-	LimitUnreadable bool
+	// LimitUnknown is set if the response does not tell whether there is a limit.
+	LimitUnknown bool
+	// Unreadable holds the errors of the values that are not understood, or nil.
+	Unreadable error
 }
 
-// Empty reports whether the response announces nothing.
-func (r Response) Empty() bool {
-	return !r.Limited && !r.Leaving && r.Unreadable == nil
+// Distrust makes the response say only what it announces: its silence does not mean that there is no limit.
+func (r *Response) Distrust() {
+	r.LimitUnknown = r.LimitUnknown || !r.Limited
 }
 
 const (
 	leavingValue = "1"
+	stayingValue = "0"
+	// maxQuoted is the number of bytes of a value that errors quote.
+	maxQuoted = 64
 	// maxLimit is the highest limit that is kept, in requests per second. It is above the rate of any fleet.
 	maxLimit = 1e9
 )
@@ -46,13 +49,15 @@
 			}
 		}
 	}
-	r.LimitUnreadable = len(limits) > 0 && !r.Limited
+	r.LimitUnknown = len(limits) > 0 && !r.Limited
 	for _, text := range leaving {
-		if strings.TrimSpace(text) == leavingValue {
+		switch strings.TrimSpace(text) {
+		case leavingValue:
 			r.Leaving = true
-			continue
+		case stayingValue:
+		default:
+			r.Unreadable = errors.Join(r.Unreadable, fmt.Errorf("leaving: %.*q is not %q", maxQuoted, text, leavingValue))
 		}
-		r.Unreadable = errors.Join(r.Unreadable, fmt.Errorf("leaving: %q is not %q", text, leavingValue))
 	}
 	return r
 }
@@ -60,11 +65,11 @@
 // readLimit reads a limit written as a decimal number. Limits above maxLimit are cut to it.
 func readLimit(text string) (float64, error) {
 	if text == "" || strings.Trim(text, "0123456789.") != "" {
-		return 0, fmt.Errorf("limit: %q is not a decimal number of requests per second", text)
+		return 0, fmt.Errorf("limit: %.*q is not a decimal number of requests per second", maxQuoted, text)
 	}
 	limit, err := strconv.ParseFloat(text, 64)
 	if err != nil && !errors.Is(err, strconv.ErrRange) {
-		return 0, fmt.Errorf("limit: %w", err)
+		return 0, fmt.Errorf("limit: %.*q is not a number", maxQuoted, text)
 	}
 	return min(limit, maxLimit), nil
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		report := e.report()
-		if a := report.Announced; !a.Limited && !a.Leaving && now.Sub(a.ChangedAt()) > announcementEndTime {
+		if a := report.Announced; !a.Restricts() && now.Sub(a.ChangedAt()) > announcementEndTime {
 			report.Announced = announce.State{}
 		}
 		list = append(list, report)
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -120,8 +120,8 @@
 func (e *endpoint) observeAnnouncements(response *transport.Response, trusted bool, begin time.Duration) {
 	names, header := e.dispatcher.options.Headers, &response.Head.Header
 	announced := announce.ReadResponse(header.GetAll(names.Limit), header.GetAll(names.Leaving))
-	if !trusted && announced.Empty() {
-		return
+	if !trusted {
+		announced.Distrust()
 	}
 	if e.dispatcher.options.Announcements.Observe(e.id, announced, begin) {
 		e.dispatcher.options.ConditionChanged()
