Tell the end of a limit with requests again

A node whose clock was set back and that was restarted numbers its changes below what the others remember, and learns their number only from requests; without it they would ignore its reports of a new limit.

--- a/pkg/hop/hop.go
+++ b/pkg/hop/hop.go
@@ -90,7 +90,7 @@
 	if m.CallerService != "" {
 		h.Set(outcome.HeaderHopCaller, m.CallerService)
 	}
-	if m.Announced.Restricts() {
+	if m.Announced.Version > 0 {
 		h.Set(outcome.HeaderHopAnnounced, encodeAnnounced(m.Announced))
 	}
 }
