Wait in the soak before the address of an endpoint that left is used again

In a loop of 2,000 such restarts under requests 1,963 binds failed at first. It now waits as the other action that replaces an endpoint does.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -370,6 +370,7 @@
 	time.Sleep(hold + 2*drainTime)
 	leaving.Deregister()
 	leaving.Close()
+	time.Sleep(reuseAfter)
 	x.fail(x.fleet.startEndpoint(h))
 }
 
