Show that a removed endpoint gets requests after a failed call to the store

A failed call counts as an outage of the store, so that entries which are missing afterwards stay listed for 2.2 s more. When open connections to the store go silent, the call fails up to 2.2 s late, and an endpoint that was removed meanwhile gets requests for about 4 s after the removal; 2 s are allowed, and all machines are in touch by then.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -310,61 +309,66 @@
 	return broken == 0, nil
 }
 
-// removedEndpoint removes the entry of an endpoint that never reports draining and serves on for some seconds, while the store
-// cuts watches that wait.
+// removedEndpoint lets the open connections of all nodes to the store go silent, and removes the entry of an endpoint a second later.
+// The endpoint never reports draining and serves on for some seconds.
 func removedEndpoint(f *fleet, trouble bool) (bool, error) {
 	const (
-		cutAfter = 500 * time.Millisecond // on average
-		servesOn = 8 * time.Second
+		removeAfter = 900 * time.Millisecond
+		margin      = 100 * time.Millisecond // for the way from a client to the endpoint
+		servesOn    = 5 * time.Second
 	)
 	err := f.prepare([]string{"kgn-a", "kgn-b", "spt-a"}, route{prefix: "/pufi791/", kind: "unsafe", service: service}, route{prefix: "/lohu930/", kind: "safe", service: service})
 	if err != nil {
 		return false, err
 	}
 	for _, e := range f.endpoints {
-		e.work = 100 * time.Millisecond
+		e.work = 50 * time.Millisecond
 	}
 	leaving := f.endpoints[2]
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
-	for host := 1; host <= 2; host++ {
+	for host := range f.nodes {
 		tasks.Go(func() {
 			for {
 				select {
 				case <-stop:
 					return
-				case <-time.After(time.Duration(30+rand.IntN(60)) * time.Millisecond):
+				case <-time.After(time.Duration(20+rand.IntN(60)) * time.Millisecond):
 				}
 				path, method := "/pufi791/2f", "POST"
 				if rand.IntN(3) == 0 {
 					path, method = "/lohu930/2f", "GET"
 				}
-				tasks.Go(func() { f.send(host, method, path, "", nil) })
+				tasks.Go(func() { f.send(1+host, method, path, "", nil) })
 			}
 		})
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(6*time.Second + rand.N(time.Second))
+	silenced := time.Now()
 	if trouble {
-		f.note("store    begins to cut watches that wait, after %v on average", cutAfter)
-		f.store.cutWatches(cutAfter)
+		for n := range f.nodes {
+			f.note("silent   %d open connections of host %d to the store; new ones work", f.nodes[n].store.silence(), n+1)
+		}
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(removeAfter)
 	acknowledged := leaving.deregister()
 	f.note("store    acknowledges that %s is gone; it serves on for %v", leaving.id, servesOn)
 	time.Sleep(servesOn)
-	leaving.exit()
-	f.note("exit     of %s", leaving.id)
-	time.Sleep(time.Second)
 	close(stop)
 	tasks.Wait()
-	var late []run
+	leaving.exit()
+	// Machines are in touch again stableWindow after the reset of their connections, as which the silence counts.
+	bound := acknowledged.Add(drainBound)
+	if inTouch := silenced.Add(stableWindow + margin); trouble && inTouch.After(bound) {
+		bound = inTouch
+	}
+	late := 0
 	for _, r := range leaving.allRuns() {
-		if r.At.Sub(acknowledged) > drainBound {
-			late = append(late, r)
-			f.note("checked  %s reached %s %.2f s after the acknowledgement", r.ID, leaving.id, r.At.Sub(acknowledged).Seconds())
+		if r.At.After(bound) {
+			late++
+			f.note("checked  %s reached %s %.2f s after the acknowledgement, %.2f s after the connections went silent", r.ID, leaving.id, r.At.Sub(acknowledged).Seconds(), r.At.Sub(silenced).Seconds())
 		}
 	}
-	slices.SortFunc(late, func(a, b run) int { return a.At.Compare(b.At) })
-	f.note("checked  requests that reached %s later than %v after the acknowledgement: %d; the store has cut %d watches", leaving.id, drainBound, len(late), f.store.cutCount())
-	return len(late) == 0, nil
+	f.note("checked  requests that reached %s later than %v after the acknowledgement, with all machines in touch: %d", leaving.id, drainBound, late)
+	return late == 0, nil
 }
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -38,6 +38,7 @@
 	portPeer
 	portApp
 	portStore
+	portLink
 	portCount
 )
 
@@ -59,8 +60,10 @@
 
 type node struct {
 	ip, zone, service string
-	command           *exec.Cmd
-	done              chan error
+	// store is the link of the node to the store.
+	store   *link
+	command *exec.Cmd
+	done    chan error
 }
 
 func newFleet(program, recordPath string) (*fleet, error) {
@@ -108,7 +111,11 @@
 		return nil, err
 	}
 	f.endpoints = append(f.endpoints, e)
-	f.nodes = append(f.nodes, &node{ip: f.ip(host), zone: zone, service: service})
+	store, err := newLink(f.address(host, portLink), f.store.address)
+	if err != nil {
+		return nil, err
+	}
+	f.nodes = append(f.nodes, &node{ip: f.ip(host), zone: zone, service: service, store: store})
 	return e, nil
 }
 
@@ -128,7 +135,7 @@
 			"retry-budget-ratio": 0.2, "budget-window": "10s", "budget-slack": 56,
 		},
 		"app-address": f.address(host, portApp), "service": n.service,
-		"platform": map[string]any{"address": f.store.address, "form": "read", "reads-per-s": 2000, "history": "20s", "value-bytes": 1 << 20},
+		"platform": map[string]any{"address": n.store.address, "form": "read", "reads-per-s": 2000, "history": "20s", "value-bytes": 1 << 20},
 	})
 	if err != nil {
 		return err
@@ -239,6 +246,8 @@
 	Body          []byte
 	// Err is set if the answer did not arrive completely.
 	Err error
+	// close is set if the node closes the connection after the answer.
+	close bool
 }
 
 // send sends a request over a new connection from the client on a host, and reads the answer. Lines are further header lines.
@@ -276,6 +285,7 @@
 	}
 	defer response.Body.Close()
 	a.Status, a.Signature = response.StatusCode, response.Header.Get("X-Response-Signature")
+	a.close = response.Close
 	a.Body, a.Err = io.ReadAll(response.Body)
 }
 
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -34,9 +33,6 @@
 	events   []item
 	revision uint64
 	changed  chan struct{}
-	// cutAfter, if not zero, is the mean time after which a watch that still waits is cut.
-	cutAfter time.Duration
-	cuts     int
 }
 
 func newStore(address string) (*store, error) {
@@ -82,19 +78,6 @@
 	return time.Now()
 }
 
-// cutWatches sets the time after which a waiting watch is cut.
-func (s *store) cutWatches(after time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cutAfter = after
-}
-
-func (s *store) cutCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cuts
-}
-
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	switch r.URL.Path {
@@ -139,12 +122,6 @@
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	waitMS, _ := strconv.Atoi(q.Get("wait-ms"))
 	end := time.After(time.Duration(waitMS) * time.Millisecond)
-	var cut <-chan time.Time
-	s.mu.Lock()
-	if s.cutAfter > 0 {
-		cut = time.After(s.cutAfter/2 + rand.N(s.cutAfter))
-	}
-	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		events, revision, changed := []item{}, s.revision, s.changed
@@ -163,8 +140,6 @@
 		case <-end:
 			reply(w, http.StatusOK, map[string]any{"events": events, "read-revision": revision})
 			return
-		case <-cut:
-			s.cut()
 		case <-r.Context().Done():
 			return
 		}
@@ -176,11 +151,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
-
-// cut ends a waiting watch: the connection is closed in order, without a response.
-func (s *store) cut() {
-	s.mu.Lock()
-	s.cuts++
-	s.mu.Unlock()
-	panic(http.ErrAbortHandler)
-}
