Show that requests which crash endpoints silently are not contained

The node takes only a connection that ends for a sign of a crash. An endpoint that crashes and sends nothing keeps its connections open, so that the request that crashed it is sent to the next endpoint each time that it comes.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -24,6 +24,7 @@
 	cases["caller"] = callerService
 	cases["smuggle"] = smuggle
 	cases["drain"] = removedEndpoint
+	cases["dark"] = darkCrashes
 }
 
 const service = "huvo11a"
@@ -372,3 +373,95 @@
 	f.note("checked  requests that reached %s later than %v after the acknowledgement, with all machines in touch: %d", leaving.id, drainBound, late)
 	return late == 0, nil
 }
+
+// darkCrashes sends a request that crashes each endpoint which begins to run it, again and again, beside others. A crashed endpoint is
+// silent until it starts again some seconds later, under a new id. Without the disruption its connections are closed at the crash.
+func darkCrashes(f *fleet, trouble bool) (bool, error) {
+	const (
+		crashing  = "/pufi791/crash"
+		downTime  = 3 * time.Second
+		playTime  = 30 * time.Second
+		mayReturn = 3 // retries that may reach endpoints later than stableWindow after the third crash
+	)
+	zones := []string{"kgn-a", "kgn-b", "spt-a", "kgn-a", "kgn-b", "spt-a"}
+	if err := f.prepare(zones, route{prefix: "/pufi791/", kind: "unsafe", service: service}); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	var crashes []time.Time
+	lost := 0
+	var arm func(e *endpoint, starts int)
+	arm = func(e *endpoint, starts int) {
+		e.work = 60 * time.Millisecond
+		crashed := make(chan struct{})
+		var once sync.Once
+		e.respond = func(c net.Conn, r *run) bool {
+			if r.URI == crashing {
+				once.Do(func() {
+					f.note("crash    of %s by %s", e.id, r.ID)
+					close(crashed)
+					mu.Lock()
+					crashes = append(crashes, time.Now())
+					mu.Unlock()
+					if !trouble {
+						e.exit()
+					}
+					time.AfterFunc(downTime, func() {
+						e.exit()
+						e.deregister()
+						next, err := f.newEndpoint(fmt.Sprintf("%s-%d", strings.Split(e.id, "_")[0]+"_", starts+1), service, e.zone, e.address)
+						if err != nil {
+							f.note("restart  of %s failed: %v", e.id, err)
+							return
+						}
+						arm(next, starts+1)
+					})
+				})
+			}
+			select {
+			case <-crashed:
+				time.Sleep(downTime)
+				return false
+			default:
+				return e.writeAnswer(c, r)
+			}
+		}
+	}
+	for _, e := range f.endpoints {
+		arm(e, 0)
+	}
+	end := time.Now().Add(playTime)
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for time.Now().Before(end) {
+			time.Sleep(500*time.Millisecond + rand.N(500*time.Millisecond))
+			host := 1 + rand.IntN(len(f.nodes))
+			tasks.Go(func() { f.send(host, "POST", crashing, "", nil) })
+		}
+	})
+	for host := range f.nodes {
+		tasks.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				time.Sleep(50*time.Millisecond + rand.N(100*time.Millisecond))
+				tasks.Go(func() {
+					if a := f.send(1+host, "POST", fmt.Sprintf("/pufi791/%d", n), "", nil); a.Status == http.StatusBadGateway || a.Status == http.StatusGatewayTimeout {
+						mu.Lock()
+						lost++
+						mu.Unlock()
+					}
+				})
+			}
+		})
+	}
+	tasks.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for n, at := range crashes {
+		if n > 2 && at.Sub(crashes[2]) > stableWindow {
+			late++
+		}
+	}
+	f.note("checked  the request crashed %d endpoints, %d of them later than %v after the third; %d other requests, which may run only once, got 502 or 504", len(crashes), late, stableWindow, lost)
+	return late <= mayReturn, nil
+}
