Count a request as in flight until its response is written

Cause: hertz writes a response after the handler has returned. By then the request counted as ended, so that a planned stop found nothing in flight, and closed connections that slow callers were still reading from (LOST).

Change: the server writes every response, and the end of a streamed one, before it counts the request as ended. Stops of both stacks wait for the requests of their servers instead of counters in the handlers.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -86,7 +86,6 @@
 	pool     *transport.Pool
 	stats    transport.Stats
 	leaving  atomic.Bool
-	inFlight atomic.Int64
 	bodies   *relay.BodyMemory
 
 	mu        sync.Mutex
@@ -151,11 +150,6 @@
 	return d.leaving.Load()
 }
 
-// InFlight returns the number of requests that are queued or running.
-func (d *Dispatcher) InFlight() int {
-	return int(d.inFlight.Load())
-}
-
 // Inquire returns the state of an attempt. An attempt that is not known is reported as not run, and is refused if it
 // arrives later.
 func (d *Dispatcher) Inquire(attempt string) attempts.State {
@@ -235,17 +229,13 @@
 	if state, isNew := d.attempts.Begin(r.Attempt); !isNew {
 		return nil, refuseCopy(r, state)
 	}
-	d.inFlight.Add(1)
 	response, failure := d.run(ctx, r)
 	if failure != nil {
-		d.inFlight.Add(-1)
 		state := attempts.NotRun
 		if failure.Outcome == outcome.Unknown {
 			state = attempts.Unknown
 		}
 		d.attempts.Set(r.Attempt, state)
-	} else {
-		response.OnClose(func() { d.inFlight.Add(-1) })
 	}
 	d.record(r, response, failure)
 	return response, failure
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -115,12 +115,11 @@
 
 // Forwarder serves callers. It is safe for concurrent use.
 type Forwarder struct {
-	options  Options
-	ids      *attempts.IDs
-	stats    transport.Stats
-	drain    atomic.Pointer[lifecycle.Drain]
-	inFlight atomic.Int64
-	bodies   *relay.BodyMemory
+	options Options
+	ids     *attempts.IDs
+	stats   transport.Stats
+	drain   atomic.Pointer[lifecycle.Drain]
+	bodies  *relay.BodyMemory
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -173,11 +172,6 @@
 	f.drain.Store(&d)
 }
 
-// InFlight returns the number of requests of callers that are being served.
-func (f *Forwarder) InFlight() int {
-	return int(f.inFlight.Load())
-}
-
 const (
 	// hopConnectTimeout is many times the round-trip time between zones (otherRoundTrip). A connection that takes longer to
 	// open uses a faulty path.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -79,8 +79,6 @@
 
 // Serve handles a caller's request.
 func (f *Forwarder) Serve(parent context.Context, c *app.RequestContext) {
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
 	arrived := time.Now()
 	id := c.Request.Header.Get(f.options.Headers.RequestID)
 	r, failure := f.accept(c, id, arrived)
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/guard"
@@ -48,6 +49,8 @@
 	handler app.HandlerFunc
 	logger  *slog.Logger
 	engine  *server.Hertz
+	// inFlight counts the requests that are being handled or answered.
+	inFlight atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -59,7 +62,7 @@
 type trackedConn struct {
 	net.Conn
 	server    *Server
-	requests  int // whose handlers are running
+	requests  int // that are being handled or answered
 	idleSince time.Time
 	// lastReadNS is the time of the latest read that returned bytes, in Unix nanoseconds. It shows that a request may
 	// be arriving whose handler has not started yet.
@@ -169,6 +172,7 @@
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	conn := s.requestStarted(c.GetConn().RemoteAddr().String())
 	defer s.requestEnded(conn)
+	defer func() { c.Response.HijackWriter(written{s.writeResponse(c)}) }()
 	if err := guard.Call(func() { s.handler(ctx, c) }); err != nil {
 		s.logger.Error("request failed with a panic", "server", s.address, "error", err)
 		// The request may have run, so the response must not say that it has not. Part of a response may have been sent
@@ -179,9 +183,43 @@
 	}
 }
 
+// writeResponse writes the response, or the end of one whose body the handler has written. hertz would do so after the
+// handler has returned, when a stop no longer waits for the request.
+func (s *Server) writeResponse(c *app.RequestContext) error {
+	if !s.engine.IsRunning() || c.Request.Header.ConnectionClose() || !c.Request.Header.IsHTTP11() {
+		c.SetConnectionClose()
+	}
+	if hijacked := c.Response.GetHijackWriter(); hijacked != nil {
+		if err := hijacked.Finalize(); err != nil {
+			return err
+		}
+		return hijacked.Flush()
+	}
+	c.Response.SkipBody = c.Request.Header.IsHead()
+	if err := resp.Write(&c.Response, c.GetWriter()); err != nil {
+		return err
+	}
+	return c.GetWriter().Flush()
+}
+
+// written takes the place of the writer of a response that has been written, with the result.
+type written struct {
+	err error
+}
+
+func (w written) Write([]byte) (int, error) { return 0, w.err }
+func (w written) Flush() error              { return w.err }
+func (w written) Finalize() error           { return w.err }
+
+// InFlight returns the number of requests that are being handled or whose responses are being written.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
 // requestStarted counts a request on the connection of a remote address. It returns nil if the connection is already
 // closed.
 func (s *Server) requestStarted(remote string) *trackedConn {
+	s.inFlight.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conn := s.conns[remote]
@@ -192,6 +230,7 @@
 }
 
 func (s *Server) requestEnded(conn *trackedConn) {
+	s.inFlight.Add(-1)
 	if conn == nil {
 		return
 	}
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -132,3 +133,37 @@
 		g.Expect(<-results).To(gomega.Succeed())
 	}
 }
+
+// Guards against a stop that cuts off responses which slow clients are still reading: they were written after the request had
+// counted as ended.
+func TestStopWaitsForResponsesThatAreBeingRead(t *testing.T) {
+	// The body exceeds what the buffers of a loopback connection hold.
+	const bodyBytes = 64 << 20
+	for _, streamed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("streamed=%v", streamed), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			handled := make(chan struct{})
+			s := start(t, func(_ context.Context, c *app.RequestContext) {
+				defer close(handled)
+				if streamed {
+					c.Response.SetBodyStream(bytes.NewReader(make([]byte, bodyBytes)), bodyBytes)
+				} else {
+					c.Response.SetBody(make([]byte, bodyBytes))
+				}
+			})
+			conn := dial(t, s)
+			_, err := io.WriteString(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			<-handled
+			g.Consistently(s.InFlight, "100ms").Should(gomega.Equal(1))
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Stop(context.Background()) }()
+			g.Consistently(stopped, "700ms").ShouldNot(gomega.Receive())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(io.Copy(io.Discard, response.Body)).To(gomega.BeEquivalentTo(bodyBytes))
+			g.Eventually(stopped, hangTimeout).Should(gomega.Receive(gomega.Succeed()))
+			g.Expect(s.InFlight()).To(gomega.BeZero())
+		})
+	}
+}
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -38,8 +38,6 @@
 
 // Serve handles a request of a caller and writes the response.
 func (i *Ingress) Serve(ctx context.Context, c *app.RequestContext) {
-	i.inFlight.Add(1)
-	defer i.inFlight.Add(-1)
 	arrived := time.Now()
 	id := i.requestID(c)
 	r, release, failure := i.accept(c, id, arrived)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -66,7 +66,6 @@
 	workspaces *workspaceLimiter
 	classes    *routeClassifier
 	drain      atomic.Pointer[lifecycle.Drain]
-	inFlight   atomic.Int64
 
 	mu       sync.RWMutex
 	snapshot *config.Snapshot
@@ -111,11 +110,6 @@
 	i.drain.Store(&d)
 }
 
-// InFlight returns the number of requests of callers that are being served.
-func (i *Ingress) InFlight() int {
-	return int(i.inFlight.Load())
-}
-
 // Update applies a new configuration. Views exist only for services that callers of this node have used; those of
 // removed services are deleted.
 func (i *Ingress) Update(snapshot *config.Snapshot) {
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -58,6 +58,7 @@
 	}
 }
 
+// inFlight returns the number of requests of callers and of other nodes that are not answered completely.
 func (m *Member) inFlight() int {
-	return m.forwarder.InFlight() + m.dispatcher.InFlight()
+	return m.callers.InFlight() + m.hops.InFlight()
 }
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -63,8 +63,9 @@
 	return nil
 }
 
+// inFlight returns the number of requests that are not answered completely.
 func (n *Node) inFlight() int {
-	return n.ingress.InFlight() + n.owner.InFlight()
+	return n.callers.InFlight() + n.hops.InFlight() + n.owner.InFlight()
 }
 
 // announceLeaving tells the other nodes that this host is leaving.
