Pass on a response that fills the buffer with its body

Cause: a body of exactly 1 MiB with a length was read to its end, but only shorter ones counted as complete.

Change: an answer is complete when its body was read to its end, and a response says by itself whether it has no body at all.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -179,7 +179,7 @@
 		c.SetConnectionClose()
 	}
 	var err error
-	if a.complete {
+	if a.complete && !a.response.Bodyless() {
 		c.Response.SetBody(a.prefix)
 	} else {
 		a.response.Body = io.MultiReader(bytes.NewReader(a.prefix), a.response.Body)
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -70,7 +70,7 @@
 		}
 		return outcome.MayHaveRun(status, outcome.ReasonBodyCut, stepSend, a.pick.host, err)
 	}
-	a.prefix, a.complete = prefix, len(prefix) < responseBufferBytes
+	a.prefix, a.complete = prefix, a.response.Complete()
 	return nil
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -213,7 +213,7 @@
 // error if the body could not be passed on completely; it then closes the connection, so that the caller can tell that the
 // body is incomplete.
 func WriteResponse(c *app.RequestContext, r *transport.Response) error {
-	if c.Request.Header.IsHead() || r.Complete() {
+	if c.Request.Header.IsHead() || r.Bodyless() {
 		if r.Length >= 0 {
 			c.Response.Header.SetContentLength(int(r.Length))
 		}
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -163,7 +163,7 @@
 	switch {
 	case noBody || r.Length == 0:
 		r.Body = &body{response: r, reader: bytes.NewReader(nil), remaining: 0}
-		r.complete = true
+		r.bodyless, r.complete = true, true
 	case r.Length == lengthChunked:
 		empty := &bytebufferpool.ByteBuffer{}
 		chunks := ext.AcquireBodyStream(empty, p.conn, head.Header.Trailer(), lengthChunked)
@@ -207,7 +207,9 @@
 	// Body ends with io.EOF only if it is complete.
 	Body io.Reader
 
-	pending  *Pending
+	pending *Pending
+	// bodyless is set if the response has no body, whatever length its head announces.
+	bodyless bool
 	complete bool // whether the body was read to its end
 	closed   bool
 	// untilClose is set if the body ends when the connection is closed.
@@ -255,6 +257,11 @@
 	r.Close()
 }
 
+// Bodyless reports whether the response has no body, whatever length its head announces.
+func (r *Response) Bodyless() bool {
+	return r.bodyless
+}
+
 // Close returns the connection to its pool if the body was read to its end and closes it otherwise.
 func (r *Response) Close() {
 	if r.closed {
