Take a response without a valid status for none

Change: a response whose status is not a number from 100 to 599 fails the exchange on both paths; the request may have run.

--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -26,6 +26,9 @@
 // ErrUnmatchedResponses is returned if Request.Accept has rejected all responses that arrived.
 var ErrUnmatchedResponses = errors.New("responses belong to other requests")
 
+// ErrInvalidStatus is returned for a response whose status is not one of HTTP.
+var ErrInvalidStatus = errors.New("response has no valid status")
+
 const (
 	// maxUnmatchedResponses is the number of responses to other requests after which a request fails.
 	maxUnmatchedResponses = 3
@@ -144,6 +147,9 @@
 // readHead reads the head of the next response that is not an interim one.
 func (p *Pending) readHead(head *protocol.Response) error {
 	for range maxInterimResponses {
+		if err := p.checkStatus(); err != nil {
+			return err
+		}
 		if err := resp.ReadHeader(&head.Header, p.conn); err != nil {
 			return err
 		}
@@ -156,6 +162,22 @@
 	return fmt.Errorf("%d interim (1xx) responses without a final one", maxInterimResponses)
 }
 
+// checkStatus returns an error if the status of the next response is not a number from 100 to 599. hertz takes any digits for a
+// status, and 000 for 200. A head that is too short is left to the parser.
+func (p *Pending) checkStatus() error {
+	line, err := p.conn.Peek(len("HTTP/1.1 200\r"))
+	if err != nil {
+		return nil
+	}
+	code, end := line[len("HTTP/1.1 "):len("HTTP/1.1 200")], line[len("HTTP/1.1 200")]
+	isDigit := func(b byte) bool { return '0' <= b && b <= '9' }
+	valid := '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+	if !valid || (end != ' ' && end != '\r' && end != '\n') {
+		return fmt.Errorf("%w: response begins with %q", ErrInvalidStatus, line)
+	}
+	return nil
+}
+
 func (p *Pending) newResponse(head *protocol.Response) *Response {
 	r := &Response{Head: head, Length: int64(head.Header.ContentLength()), pending: p}
 	status := head.StatusCode()
@@ -235,6 +257,11 @@
 	r.onClose = append(r.onClose, f)
 }
 
+// Bodyless reports whether the response has no body, whatever length its head announces.
+func (r *Response) Bodyless() bool {
+	return r.bodyless
+}
+
 // Complete reports whether the body was read to its end.
 func (r *Response) Complete() bool {
 	return r.complete
@@ -257,11 +284,6 @@
 	r.Close()
 }
 
-// Bodyless reports whether the response has no body, whatever length its head announces.
-func (r *Response) Bodyless() bool {
-	return r.bodyless
-}
-
 // Close returns the connection to its pool if the body was read to its end and closes it otherwise.
 func (r *Response) Close() {
 	if r.closed {
