Recognize endpoints that end silently or come back at once

Cause: only a connection that ended was taken for a sign of a crash.

Change: an endpoint that sends nothing for a second while a request waits gets a health check; none answered within another second is a crash of what was in flight, requests that have reached their deadline included. A new start at the address explains requests that ended without an answer.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -12,6 +12,8 @@
 	Signature string
 	// TargetInstance is the ID of the endpoint that may run the request. Any other endpoint rejects it.
 	TargetInstance string
+	// Instance is the ID of the endpoint in its response to a health check.
+	Instance string
 	// NotRun is set by a backend server in the response to a request that it has not run and will not run.
 	NotRun string
 	// CallerService is the service whose endpoint shares the host of the node that received the request from its
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,8 @@
 	View func() *registry.View
 	// PeerMedian returns the median condition of the other endpoints of a service, or false if there are none.
 	PeerMedian func(service, except string) (reports.Endpoint, bool)
+	// HealthPath returns the path of the health check of a service's endpoints, or "" if it is not known.
+	HealthPath func(service string) string
 	// ConditionChanged is called when an endpoint's condition should be reported to the other nodes at once.
 	ConditionChanged func()
 	Suspects         Suspects
@@ -206,10 +210,15 @@
 func (d *Dispatcher) Update(view *registry.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// started is the latest start of another incarnation or endpoint at the address.
+	var started time.Time
+	before := slices.Collect(maps.Values(d.endpoints))
 	for id, e := range d.endpoints {
 		switch listed := view.ByID[id]; {
 		case listed != nil:
-			e.configure(listed)
+			if e.configure(listed) {
+				started = latest(started, listed)
+			}
 		case e.idle():
 			delete(d.endpoints, id)
 		}
@@ -219,8 +228,23 @@
 			e := newEndpoint(d, listed.ID)
 			e.configure(listed)
 			d.endpoints[listed.ID] = e
+			started = latest(started, listed)
 		}
 	}
+	if started.IsZero() {
+		return
+	}
+	for _, e := range before {
+		e.endedBefore(started)
+	}
+}
+
+// latest returns the later one of a time and the start of an endpoint.
+func latest(t time.Time, listed *registry.Endpoint) time.Time {
+	if started := time.UnixMilli(listed.StartedAtMS); started.After(t) {
+		return started
+	}
+	return t
 }
 
 // Do runs a request. The context must carry the request's deadline. The returned response must be closed; closing it
--- a/pkg/dispatch/endpoint.go
+++ b/pkg/dispatch/endpoint.go
@@ -62,6 +62,10 @@
 type running struct {
 	// begin is the time at which sending began.
 	begin time.Duration
+	// sentAt is the same time of day, for the comparison with the start times of endpoints.
+	sentAt time.Time
+	// endedAt is when the request ended, if it ended without an answer.
+	endedAt time.Duration
 	// limit is the age from which the request counts as stalled; stalled is set once that was observed.
 	limit   time.Duration
 	stalled bool
@@ -102,6 +106,15 @@
 	// latestCrash identifies the latest crash, which was determined at crashedAt.
 	latestCrash uint64
 	crashedAt   time.Duration
+	// unanswered holds the requests that have ended without an answer and for whose end no cause is known yet.
+	unanswered []*running
+	// silentFrom is the time since which a request has waited while the endpoint sent nothing, or 0 if none waits.
+	silentFrom time.Duration
+	// silentCrash is set from a crash that silence has shown until the endpoint sends something again.
+	silentCrash bool
+	// checking is set while a health check is under way, the latest of which began at checkedAt.
+	checking  bool
+	checkedAt time.Duration
 	// atCrossing is the failure probability when it last crossed degradedFrom, or 0 if it has not.
 	atCrossing float64
 }
@@ -118,18 +131,22 @@
 	return e
 }
 
-// configure applies the endpoint's registry entry. If the endpoint was restarted, its failure probability is reset.
-func (e *endpoint) configure(listed *registry.Endpoint) {
+// configure applies the endpoint's registry entry. If the endpoint was restarted, its failure probability is reset. It returns
+// true if it was restarted after it had been known.
+func (e *endpoint) configure(listed *registry.Endpoint) (restarted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.service = listed.Service
 	if listed.StartedAtMS != e.startedAtMS {
+		restarted = e.startedAtMS != 0
+		e.silentCrash = false
 		e.startedAtMS = listed.StartedAtMS
 		e.filter.Reset()
 	}
 	if listed.Slots != e.slots {
 		e.resize(listed.Slots)
 	}
+	return restarted
 }
 
 // resize sets the number of slots and the limits that follow from it. The caller holds the lock.
@@ -372,8 +389,11 @@
 	}
 	usual := e.usualTime(r.Route)
 	e.lastStart = e.dispatcher.now()
+	if e.silentFrom == 0 {
+		e.silentFrom = e.lastStart
+	}
 	e.running[r.Attempt] = &running{
-		begin: e.lastStart, limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
+		begin: e.lastStart, sentAt: time.Now(), limit: max(time.Duration(stallFactor*float64(usual)), minStall), request: r,
 	}
 	return nil
 }
@@ -498,6 +518,7 @@
 			e.lastOutcome, e.hasOutcome = now, true
 		}
 	}
+	e.checkSilence(now)
 	e.refuseIfSuspect(now)
 	if len(e.waiting) > 0 && e.dispatcher.endpointLeaves(e.id) {
 		e.refuseWaiting(errLeaving)
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -85,6 +85,7 @@
 // classifyResponse returns a signed answer of the endpoint, and a failure for a rejection or for a response that cannot be
 // attributed to the request.
 func (e *endpoint) classifyResponse(r *Request, response *transport.Response, begin, took time.Duration) (*transport.Response, *outcome.Error) {
+	e.heard(1)
 	names := e.dispatcher.options.Headers
 	status := response.Head.StatusCode()
 	signed := response.Head.Header.Get(names.Signature) != ""
@@ -131,6 +132,7 @@
 
 // finish records the outcome of an answer whose body has ended or was aborted, and releases the slot.
 func (e *endpoint) finish(r *Request, response *transport.Response, status int, begin time.Duration) {
+	e.heard(1)
 	served := e.dispatcher.now() - begin
 	switch {
 	case status >= http.StatusInternalServerError:
@@ -175,6 +177,7 @@
 	case errors.Is(err, transport.ErrRequestBody):
 		return outcome.MayHaveRun(http.StatusBadRequest, outcome.ReasonBodyCut, stepDispatch, e.id, err)
 	case transport.IsTimeout(err):
+		e.keepUnanswered(r)
 		e.observe(r, faultfilter.Failure, took)
 		return outcome.MayHaveRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, stepDispatch, e.id, err)
 	case ctx.Err() != nil:
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -135,7 +135,7 @@
 	})
 	m.dispatcher = dispatch.New(dispatch.Options{
 		Backend: s.BackendAddress, Headers: platform.Headers, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
-		View: m.discovery.View, PeerMedian: m.medianCondition, ConditionChanged: m.reports.Notify,
+		View: m.discovery.View, PeerMedian: m.medianCondition, HealthPath: m.healthPath, ConditionChanged: m.reports.Notify,
 		Suspects: m.suspects, Announcements: m.announcements,
 	})
 	m.forwarder = m.newForwarder(s, platform)
@@ -233,6 +233,14 @@
 	return m.discovery.Table()
 }
 
+// healthPath returns the path of the health check of a service's endpoints, or "" if it is not known.
+func (m *Member) healthPath(service string) string {
+	if table := m.table(); table != nil && table.Service(service) != nil {
+		return table.Service(service).HealthPath
+	}
+	return ""
+}
+
 // configChanged is called after a new configuration is in force.
 func (m *Member) configChanged(_ *routing.Table, source string) {
 	m.notifyPeers(source)
