Read heads strictly and with bounded memory before the parser sees them

Cause: hertz copies what has arrived of a head at each read and keeps all copies until the head ends, reads trailers in the same way, accepts bare line feeds, and limits neither the time of a head nor the connections. A head of 64 KB in drips took over 100 MB a connection. The port for operators had no limit on heads at all.

Change: pkg/framing hands a head over when it is complete and well-formed, and drops empty lines, chunk extensions and trailer fields. Heads share 8 MB beyond 4 KiB each. A head may take twice the configured timeout, counted without pauses of the process. A server accepts a share of the process's descriptors and memory and closes the connection that has carried no request for the longest time beyond that. The admin server is one of these servers now. Refusals say that the request was not run.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -3,24 +3,22 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-)
 
-const (
-	readTimeout     = 5 * time.Second
-	idleTimeout     = 30 * time.Second
-	exitWaitTimeout = 100 * time.Millisecond
+	"agatepulley.example/agatepulley/pkg/httpserver"
 )
 
+// stopTimeout is how long a stop waits for requests in progress.
+const stopTimeout = 100 * time.Millisecond
+
 // Sources are the parts of a node that the admin server uses. Metrics and Quarantine may be nil.
 type Sources struct {
 	Status     StatusSource
@@ -32,87 +30,71 @@
 
 // Server is the admin HTTP server of a node.
 type Server struct {
-	address  string
-	sources  Sources
-	logger   *slog.Logger
-	hertz    *server.Hertz
-	listener net.Listener
+	sources Sources
+	logger  *slog.Logger
+	server  *httpserver.Server
 }
 
-// NewServer returns a server that will listen on address.
-func NewServer(address string, sources Sources, logger *slog.Logger) *Server {
-	return &Server{address: address, sources: sources, logger: logger}
+// NewServer returns a server that will listen on address and accept a limited number of connections.
+func NewServer(address string, sources Sources, logger *slog.Logger, maxConnections int) *Server {
+	s := &Server{sources: sources, logger: logger}
+	s.server = httpserver.New(address, s.serve, logger, httpserver.Limits{MaxConnections: maxConnections})
+	return s
 }
 
 // Start listens and serves in the background. The server accepts requests once Start has returned.
 func (s *Server) Start(ctx context.Context) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.address)
-	if err != nil {
-		return fmt.Errorf("listen for admin requests on %s: %w", s.address, err)
-	}
-	s.listener = listener
-	s.hertz = server.New(
-		server.WithListener(listener),
-		server.WithTransport(standard.NewTransporter),
-		server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout),
-		server.WithExitWaitTime(exitWaitTimeout),
-		server.WithDisablePrintRoute(true),
-	)
-	s.routes()
-	go s.serve()
-	return s.waitRunning(ctx)
-}
-
-// waitRunning waits until the HTTP server runs, since hertz cannot shut it down before.
-func (s *Server) waitRunning(ctx context.Context) error {
-	for !s.hertz.IsRunning() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(time.Millisecond):
-		}
+	if err := s.server.Start(ctx); err != nil {
+		return fmt.Errorf("admin server: %w", err)
 	}
 	return nil
 }
 
-// Stop closes the listener and waits up to exitWaitTimeout for requests in progress.
+// Stop closes the listener and waits up to stopTimeout for requests in progress.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.hertz.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down admin server on %s: %w", s.address, err)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := s.server.Stop(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down admin server on %s: %w", s.Address(), err)
 	}
 	return nil
 }
 
 // Address returns the address that the server listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-func (s *Server) routes() {
-	s.hertz.GET("/status", s.status)
-	s.hertz.GET("/explain/:id", s.explain)
-	s.hertz.GET("/ready", s.ready)
-	s.hertz.GET("/live", s.live)
-	if s.sources.Quarantine != nil {
-		s.hertz.POST(LiftPath+":fingerprint", s.lift)
-	}
-	if s.sources.Metrics != nil {
-		s.hertz.GET("/metrics", adaptor.HertzHandler(s.sources.Metrics))
-	}
-}
+func (s *Server) Address() string { return s.server.Address() }
 
-func (s *Server) serve() {
-	if err := s.hertz.Run(); err != nil {
-		s.logger.Error("admin server stopped with an error", "error", err)
-	}
-}
+// Paths of the server. Those that end with a slash are followed by an id.
+const (
+	pathStatus  = "/status"
+	pathExplain = "/explain/"
+	pathReady   = "/ready"
+	pathLive    = "/live"
+	pathMetrics = "/metrics"
+)
 
-func (s *Server) status(_ context.Context, c *app.RequestContext) {
-	s.respond(c, http.StatusOK, s.sources.Status.Status())
+func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
+	path, method := string(c.Path()), string(c.Method())
+	id, explains := strings.CutPrefix(path, pathExplain)
+	fingerprint, lifts := strings.CutPrefix(path, LiftPath)
+	switch {
+	case method == http.MethodGet && path == pathStatus:
+		s.respond(c, http.StatusOK, s.sources.Status.Status())
+	case method == http.MethodGet && path == pathReady:
+		s.ready(c)
+	case method == http.MethodGet && path == pathLive:
+		c.String(http.StatusOK, "live\n")
+	case method == http.MethodGet && path == pathMetrics && s.sources.Metrics != nil:
+		adaptor.HertzHandler(s.sources.Metrics)(ctx, c)
+	case method == http.MethodGet && explains && id != "":
+		s.explain(c, id)
+	case method == http.MethodPost && lifts && fingerprint != "" && s.sources.Quarantine != nil:
+		s.lift(c, fingerprint)
+	default:
+		c.String(http.StatusNotFound, "404 page not found")
+	}
 }
 
-func (s *Server) explain(_ context.Context, c *app.RequestContext) {
-	id := c.Param("id")
+func (s *Server) explain(c *app.RequestContext, id string) {
 	decisions := s.sources.Explainer.Explain(id)
 	status := http.StatusOK
 	if len(decisions) == 0 {
@@ -129,8 +111,7 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
-func (s *Server) lift(_ context.Context, c *app.RequestContext) {
-	fingerprint := c.Param("fingerprint")
+func (s *Server) lift(c *app.RequestContext, fingerprint string) {
 	if !s.sources.Quarantine.Lift(fingerprint) {
 		s.respond(c, http.StatusNotFound, Lifted{})
 		return
@@ -139,7 +120,7 @@
 	s.respond(c, http.StatusOK, Lifted{Fingerprint: fingerprint})
 }
 
-func (s *Server) ready(_ context.Context, c *app.RequestContext) {
+func (s *Server) ready(c *app.RequestContext) {
 	readiness := s.sources.Readiness.Readiness()
 	status := http.StatusOK
 	if !readiness.Ready {
@@ -148,10 +129,6 @@
 	s.respond(c, status, readiness)
 }
 
-func (s *Server) live(_ context.Context, c *app.RequestContext) {
-	c.String(http.StatusOK, "live\n")
-}
-
 func (s *Server) respond(c *app.RequestContext, status int, value any) {
 	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/pkg/admin/server_test.go
+++ b/pkg/admin/server_test.go
@@ -56,7 +56,7 @@
 	node := &fakeNode{}
 	s := admin.NewServer("127.0.0.1:0", admin.Sources{
 		Status: node, Readiness: node, Explainer: node, Metrics: tel.Handler(),
-	}, slog.New(slog.DiscardHandler))
+	}, slog.New(slog.DiscardHandler), 16)
 	g.Expect(s.Start(context.Background())).To(gomega.Succeed())
 	base := "http://" + s.Address()
 
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -21,7 +21,7 @@
 	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/kernel"
-	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/suspects"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -90,7 +90,7 @@
 	pool     *transport.Pool
 	stats    transport.Stats
 	leaving  atomic.Bool
-	bodies   *relay.BodyMemory
+	bodies   *memory.Budget
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -116,7 +116,7 @@
 	d := &Dispatcher{
 		options:   options,
 		attempts:  attempts.NewRegistry(rememberedAttempts),
-		bodies:    relay.NewBodyMemory(hopMemoryBytes),
+		bodies:    memory.NewBudget(hopMemoryBytes),
 		endpoints: make(map[string]*endpoint),
 		done:      make(chan struct{}),
 	}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -24,7 +24,7 @@
 	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/lifecycle"
-	"agatepulley.example/agatepulley/pkg/relay"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -119,7 +119,7 @@
 	ids     *attempts.IDs
 	stats   transport.Stats
 	drain   atomic.Pointer[lifecycle.Drain]
-	bodies  *relay.BodyMemory
+	bodies  *memory.Budget
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -136,7 +136,7 @@
 	return &Forwarder{
 		options: options,
 		ids:     attempts.NewIDs(),
-		bodies:  relay.NewBodyMemory(bodyMemoryBytes),
+		bodies:  memory.NewBudget(bodyMemoryBytes),
 		rng:     rng,
 		pools:   make(map[string]*transport.Pool),
 		retries: retrybudget.NewLedger(options.Budget, rng),
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -112,10 +112,6 @@
 		c.SetConnectionClose()
 		return nil, outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonHeaderTooLarge, stepAccept, "", nil)
 	}
-	if err := relay.CheckFraming(&c.Request.Header); err != nil {
-		c.SetConnectionClose()
-		return nil, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepAccept, "", err)
-	}
 	if !attempts.ValidID(id) {
 		c.SetConnectionClose()
 		return nil, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, stepAccept, "", fmt.Errorf("request id in header %s is missing or invalid (%d bytes)", f.options.Headers.RequestID, len(id)))
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -1,9 +1,12 @@
 // Package httpserver runs hertz servers that stop without aborting requests: a server tracks which connections carry a
-// request and closes only the others. A panic of the handler fails the request but not the process.
+// request and closes only the others. A panic of the handler fails the request but not the process. What clients send is read
+// strictly and within limits (package framing).
 package httpserver
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,8 +21,11 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
+	"agatepulley.example/agatepulley/core/outcome"
 	"agatepulley.example/agatepulley/pkg/clock"
+	"agatepulley.example/agatepulley/pkg/framing"
 	"agatepulley.example/agatepulley/pkg/guard"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/socket"
 )
 
@@ -38,17 +44,56 @@
 	// there are any, and closes the listener once there are none or backlogWait has passed.
 	backlogPoll = time.Millisecond
 	backlogWait = 300 * time.Millisecond
+	// maxHeads is the memory in bytes for all heads that are arriving and are not small.
+	maxHeads = 8 << 20
+	// defaultHeadTimeout and defaultMaxConnections apply where the limits name none.
+	defaultHeadTimeout    = readTimeout
+	defaultMaxConnections = 1024
+	// headTimeoutFactor is how many times its timeout a head may take, since the sender's clock starts later and packets may be
+	// lost.
+	headTimeoutFactor = 2
+	// sweepPeriod is the interval of the search for heads that take too long.
+	sweepPeriod = time.Second
+	// A client must read each writePart bytes of a response within writeTimeout, many times the longest deadline.
+	writePart    = 64 << 10
+	writeTimeout = 30 * time.Second
 	// acceptPause is the wait before the next attempt after accept has failed, for example for lack of file
 	// descriptors.
 	acceptPause = 20 * time.Millisecond
 )
 
+// Limits bound what clients may make a server hold. The zero value means the defaults.
+type Limits struct {
+	// HeadBytes returns the size of the largest head of a request, with its request line.
+	HeadBytes func() int
+	// HeadTimeout returns the time within which the head of a request must arrive.
+	HeadTimeout func() time.Duration
+	// MaxConnections is the number of open connections. Beyond it, one without a request is closed for each that is accepted.
+	MaxConnections int
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.HeadBytes == nil {
+		l.HeadBytes = func() int { return maxHeaderBytes }
+	}
+	if l.HeadTimeout == nil {
+		l.HeadTimeout = func() time.Duration { return defaultHeadTimeout }
+	}
+	l.MaxConnections = cmp.Or(l.MaxConnections, defaultMaxConnections)
+	return l
+}
+
 // Server serves all methods and paths with one handler.
 type Server struct {
 	address string
 	handler app.HandlerFunc
 	logger  *slog.Logger
+	limits  Limits
+	heads   *memory.Budget
 	engine  *server.Hertz
+	// refused counts the heads that were refused, and closed the connections that were closed to keep the limits.
+	refused, closed atomic.Uint64
+	stopSweep       context.CancelFunc
 	// inFlight counts the requests that are being handled or answered.
 	inFlight atomic.Int64
 
@@ -61,19 +106,49 @@
 // trackedConn is an accepted connection with the state that a stop needs.
 type trackedConn struct {
 	net.Conn
-	server    *Server
-	requests  int // that are being handled or answered
-	idleSince time.Time
+	server   *Server
+	reader   *framing.Reader
+	requests int // that are being handled or answered
+	// slowSweeps counts the sweeps that have seen the head which began to arrive at slowSince unfinished. A pause of the process
+	// counts as one sweep at most.
+	slowSince  time.Time
+	slowSweeps int
+	idleSince  time.Time
 	// lastReadNS is the time of the latest read that returned bytes, in Unix nanoseconds. It shows that a request may
 	// be arriving whose handler has not started yet.
 	lastReadNS atomic.Int64
 }
 
-// Read reads from the connection and records the time.
+// Read hands over the next part of a request.
 func (t *trackedConn) Read(p []byte) (int, error) {
-	n, err := t.Conn.Read(p)
+	return t.reader.Read(p)
+}
+
+// Write writes in parts, so that a client which reads slowly is told from one that does not read.
+func (t *trackedConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePart)]
+		if err := t.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := t.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// timedSource reads from a connection and records the time.
+type timedSource struct {
+	conn *trackedConn
+}
+
+func (s timedSource) Read(p []byte) (int, error) {
+	n, err := s.conn.Conn.Read(p)
 	if n > 0 {
-		t.lastReadNS.Store(time.Now().UnixNano())
+		s.conn.lastReadNS.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
@@ -86,9 +161,10 @@
 }
 
 // New returns a server that will listen on address.
-func New(address string, handler app.HandlerFunc, logger *slog.Logger) *Server {
+func New(address string, handler app.HandlerFunc, logger *slog.Logger, limits Limits) *Server {
 	return &Server{
-		address: address, handler: handler, logger: logger, conns: make(map[string]*trackedConn), served: make(chan struct{}),
+		address: address, handler: handler, logger: logger, limits: limits.withDefaults(), heads: memory.NewBudget(maxHeads),
+		conns: make(map[string]*trackedConn), served: make(chan struct{}),
 	}
 }
 
@@ -100,6 +176,9 @@
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
 	s.listener = listener
+	sweeping, stop := context.WithCancel(context.Background())
+	s.stopSweep = stop
+	go guard.Supervise(sweeping, s.logger, "connection sweep", func() { s.sweep(sweeping) })
 	s.engine = server.New(
 		server.WithListener(&trackingListener{Listener: listener, server: s}),
 		server.WithTransport(standard.NewTransporter),
@@ -143,6 +222,7 @@
 // Stop closes the listener, closes each connection once it carries no request, and returns when all are closed. If the
 // context ends first, it closes the remaining connections.
 func (s *Server) Stop(ctx context.Context) error {
+	defer s.stopSweep()
 	s.awaitEmptyBacklog(ctx)
 	closed := make(chan error, 1)
 	go func() { closed <- s.engine.Shutdown(ctx) }()
@@ -173,6 +253,10 @@
 	conn := s.requestStarted(c.GetConn().RemoteAddr().String())
 	defer s.requestEnded(conn)
 	defer func() { c.Response.HijackWriter(written{s.writeResponse(c)}) }()
+	if conn != nil && conn.reader.Refusal() != nil {
+		s.refuse(c, conn.reader.Refusal())
+		return
+	}
 	if err := guard.Call(func() { s.handler(ctx, c) }); err != nil {
 		s.logger.Error("request failed with a panic", "server", s.address, "error", err)
 		// The request may have run, so the response must not say that it has not. Part of a response may have been sent
@@ -183,6 +267,91 @@
 	}
 }
 
+// refusal is the body of the response to a head that was refused.
+type refusal struct {
+	Outcome outcome.Outcome `json:"outcome"`
+	Reason  outcome.Reason  `json:"reason"`
+}
+
+// refuse answers a request whose head was refused. Its connection is closed.
+func (s *Server) refuse(c *app.RequestContext, err error) {
+	s.refused.Add(1)
+	status, reason := http.StatusBadRequest, outcome.ReasonBadRequest
+	switch {
+	case errors.Is(err, framing.ErrHeadTooLarge):
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonHeaderTooLarge
+	case errors.Is(err, framing.ErrNoMemory):
+		status, reason = http.StatusServiceUnavailable, outcome.ReasonBusy
+		c.Response.Header.Set("Retry-After", "1")
+	}
+	s.logger.Debug("request refused", "server", s.address, "peer", c.RemoteAddr().String(), "reason", reason, "error", err)
+	c.SetStatusCode(status)
+	c.SetConnectionClose()
+	c.Response.Header.Set(outcome.HeaderOutcome, string(outcome.NotRun))
+	c.Response.Header.Set(outcome.HeaderReason, string(reason))
+	c.Response.Header.SetContentType("application/json")
+	// Encoding cannot fail: all fields are strings.
+	text, _ := json.Marshal(refusal{Outcome: outcome.NotRun, Reason: reason})
+	c.Response.SetBody(append(text, '\n'))
+}
+
+// Refused returns the number of heads that were refused because they were malformed or too large.
+func (s *Server) Refused() uint64 {
+	return s.refused.Load()
+}
+
+// Closed returns the number of connections that were closed to keep the limits.
+func (s *Server) Closed() uint64 {
+	return s.closed.Load()
+}
+
+// sweep closes the connections whose heads take too long, until the context ends.
+func (s *Server) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.closeSlow()
+		}
+	}
+}
+
+func (s *Server) closeSlow() {
+	limit := int(headTimeoutFactor * s.limits.HeadTimeout() / sweepPeriod)
+	s.mu.Lock()
+	var slow []*trackedConn
+	for _, conn := range s.conns {
+		if conn.headIsSlow(limit) {
+			slow = append(slow, conn)
+		}
+	}
+	s.mu.Unlock()
+	s.closeExcess(slow...)
+}
+
+// headIsSlow reports whether the head of the next request has been seen unfinished more than limit times. The caller holds the
+// server's lock.
+func (t *trackedConn) headIsSlow(limit int) bool {
+	since, arriving := t.reader.HeadSince()
+	if !arriving || t.requests > 0 || !since.Equal(t.slowSince) {
+		t.slowSince, t.slowSweeps = since, 0
+		return false
+	}
+	t.slowSweeps++
+	return t.slowSweeps > limit
+}
+
+// closeExcess closes connections to keep the limits.
+func (s *Server) closeExcess(conns ...*trackedConn) {
+	for _, conn := range conns {
+		s.closed.Add(1)
+		_ = conn.Close()
+	}
+}
+
 // writeResponse writes the response, or the end of one whose body the handler has written. hertz would do so after the
 // handler has returned, when a stop no longer waits for the request.
 func (s *Server) writeResponse(c *app.RequestContext) error {
@@ -260,12 +429,32 @@
 
 func (s *Server) add(conn net.Conn) *trackedConn {
 	t := &trackedConn{Conn: conn, server: s, idleSince: time.Now()}
+	t.reader = framing.NewReader(timedSource{t}, framing.Limits{HeadBytes: s.limits.HeadBytes, Memory: s.heads})
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.conns[conn.RemoteAddr().String()] = t
+	var excess *trackedConn
+	if len(s.conns) > s.limits.MaxConnections {
+		excess = s.leastUseful(t)
+	}
+	s.mu.Unlock()
+	if excess != nil {
+		s.closeExcess(excess)
+	}
 	return t
 }
 
+// leastUseful returns the connection that has carried no request for the longest time, or added if all others carry one. The
+// caller holds the lock.
+func (s *Server) leastUseful(added *trackedConn) *trackedConn {
+	least := added
+	for _, conn := range s.conns {
+		if conn.requests == 0 && conn.idleSince.Before(least.idleSince) {
+			least = conn
+		}
+	}
+	return least
+}
+
 // Close closes the connection and removes it from the server's list.
 func (t *trackedConn) Close() error {
 	t.server.mu.Lock()
@@ -273,6 +462,7 @@
 		delete(t.server.conns, t.RemoteAddr().String())
 	}
 	t.server.mu.Unlock()
+	t.reader.Close()
 	return t.Conn.Close()
 }
 
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -26,7 +26,7 @@
 func start(t *testing.T, handler app.HandlerFunc) *httpserver.Server {
 	t.Helper()
 	telemetry.RedirectHertzLog(slog.New(slog.DiscardHandler))
-	s := httpserver.New("127.0.0.1:0", handler, slog.New(slog.DiscardHandler))
+	s := httpserver.New("127.0.0.1:0", handler, slog.New(slog.DiscardHandler), httpserver.Limits{})
 	if err := s.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -76,10 +76,6 @@
 	if snapshot == nil {
 		return nil, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, stepAccept, "", nil)
 	}
-	if err := relay.CheckFraming(&c.Request.Header); err != nil {
-		c.SetConnectionClose()
-		return nil, nil, badRequest(outcome.ReasonBadRequest, err)
-	}
 	route, failure := findRoute(snapshot, c)
 	if failure != nil {
 		return nil, nil, failure
--- a/pkg/ingress/serve_test.go
+++ b/pkg/ingress/serve_test.go
@@ -100,7 +100,7 @@
 		})
 		o.Open()
 		f.owners[id] = o
-		hopAddress := startServer(t, httpserver.New(address(), o.ServeHop, slog.New(slog.DiscardHandler)))
+		hopAddress := startServer(t, httpserver.New(address(), o.ServeHop, slog.New(slog.DiscardHandler), httpserver.Limits{}))
 		var ip string
 		var port int
 		_, err := fmt.Sscanf(hopAddress[len(hopAddress)-5:], "%d", &port)
@@ -120,7 +120,7 @@
 	in.Update(snapshot)
 	g.Expect(in.Start(context.Background())).To(gomega.Succeed())
 	t.Cleanup(func() { _ = in.Stop(context.Background()) })
-	f.url = "http://" + startServer(t, httpserver.New(address(), in.Serve, slog.New(slog.DiscardHandler)))
+	f.url = "http://" + startServer(t, httpserver.New(address(), in.Serve, slog.New(slog.DiscardHandler), httpserver.Limits{}))
 	return f
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -139,11 +139,14 @@
 		Suspects: m.suspects, Announcements: m.announcements,
 	})
 	m.forwarder = m.newForwarder(s, platform)
-	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger)
-	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve, m.logger)
+	connections := httpserver.ShareConnections(s.MaxDescriptors, s.MaxMemory)
+	m.hops = httpserver.New(s.HopListen, m.dispatcher.ServeHop, m.logger, httpserver.Limits{MaxConnections: connections.Hops})
+	m.callers = httpserver.New(s.CallerListen, m.forwarder.Serve, m.logger, httpserver.Limits{
+		HeadBytes: m.headBytes, HeadTimeout: m.headTimeout, MaxConnections: connections.Callers,
+	})
 	m.admin = admin.NewServer(s.AdminListen, admin.Sources{
 		Status: m, Readiness: m, Explainer: m.decisions, Metrics: tele.Handler(), Quarantine: m.suspects,
-	}, m.logger)
+	}, m.logger, connections.Admin)
 	m.handleInquiries()
 	return m, errors.Join(m.register(), m.observeMetrics())
 }
@@ -233,6 +236,30 @@
 	return m.discovery.Table()
 }
 
+const (
+	// unpublishedHeadBytes and unpublishedHeadTimeout apply to the heads of callers' requests where the configuration has no limits.
+	unpublishedHeadBytes   = 64 << 10
+	unpublishedHeadTimeout = 15 * time.Second
+	// targetBytes is the longest request line beside the fields, which the configuration limits.
+	targetBytes = 16 << 10
+)
+
+// headBytes returns the size of the largest head that callers may send, with its request line.
+func (m *Member) headBytes() int {
+	if table := m.table(); table != nil && table.Limits().HeaderBytes > 0 {
+		return table.Limits().HeaderBytes + targetBytes
+	}
+	return unpublishedHeadBytes
+}
+
+// headTimeout returns the time within which the head of a caller's request must arrive.
+func (m *Member) headTimeout() time.Duration {
+	if table := m.table(); table != nil && table.Limits().HeaderTimeout > 0 {
+		return table.Limits().HeaderTimeout
+	}
+	return unpublishedHeadTimeout
+}
+
 // healthPath returns the path of the health check of a service's endpoints, or "" if it is not known.
 func (m *Member) healthPath(service string) string {
 	if table := m.table(); table != nil && table.Service(service) != nil {
--- a/pkg/member/settings.go
+++ b/pkg/member/settings.go
@@ -27,6 +27,10 @@
 	// FirstStart is set if the whole fleet starts for the first time, so that there are no callers yet.
 	FirstStart bool
 
+	// MaxDescriptors and MaxMemory, in bytes, are the limits of the process, or 0 if they are not known.
+	MaxDescriptors int
+	MaxMemory      int64
+
 	// StopTimeout is the time after which the platform kills a process that was asked to stop. StopNotice is the time for
 	// which callers may still send requests although the node reports that it is not ready.
 	StopTimeout time.Duration
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -115,6 +115,12 @@
 			_, leaving := m.announcements.Counts()
 			return float64(leaving)
 		}),
+		metrics.ObserveGauge("agatepulley_refused_heads", "Request heads that were refused because they were malformed, too large or left no memory.", func() float64 {
+			return float64(m.callers.Refused() + m.hops.Refused())
+		}),
+		metrics.ObserveGauge("agatepulley_closed_connections", "Connections that were closed because a head took too long or too many were open.", func() float64 {
+			return float64(m.callers.Closed() + m.hops.Closed())
+		}),
 		metrics.ObserveGauge("agatepulley_panics", "Panics that were recovered.", func() float64 {
 			return float64(guard.Panics())
 		}),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,11 +104,12 @@
 	n.claims = n.newClaims()
 	n.owner = n.newOwner()
 	n.ingress = n.newIngress()
-	n.hops = httpserver.New(s.HopListen, n.owner.ServeHop, n.logger)
-	n.callers = httpserver.New(s.Listen, n.ingress.Serve, n.logger)
+	connections := httpserver.ShareConnections(0, 0)
+	n.hops = httpserver.New(s.HopListen, n.owner.ServeHop, n.logger, httpserver.Limits{MaxConnections: connections.Hops})
+	n.callers = httpserver.New(s.Listen, n.ingress.Serve, n.logger, httpserver.Limits{MaxConnections: connections.Callers})
 	n.admin = admin.NewServer(s.AdminListen, admin.Sources{
 		Status: n, Readiness: n, Explainer: n.decisions, Metrics: tele.Handler(),
-	}, n.logger)
+	}, n.logger, connections.Admin)
 	answerInquiries(n.peers, n.owner)
 	n.subscribe()
 	return n, errors.Join(n.register(), n.observeMetrics())
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -28,7 +28,7 @@
 	// and Rest is not nil.
 	Length int64
 
-	memory   *BodyMemory
+	memory   *memory.Budget
 	reserved int64
 }
 
@@ -39,7 +39,7 @@
 	// BufferBytes is the size up to which a body longer than PrefixBytes is read into memory completely, if Memory has
 	// enough bytes available.
 	BufferBytes int
-	Memory      *BodyMemory
+	Memory      *memory.Budget
 	// MaxBytes is the size of the largest body that is accepted.
 	MaxBytes int64
 	// ReadTimeout limits the wait for each part of the body.
@@ -48,36 +48,6 @@
 	Deadline time.Time
 }
 
-// BodyMemory limits the total memory for the bodies that all requests of a process buffer completely. It is safe for
-// concurrent use.
-type BodyMemory struct {
-	available atomic.Int64
-}
-
-// NewBodyMemory returns a BodyMemory with a limit in bytes.
-func NewBodyMemory(bytes int64) *BodyMemory {
-	m := &BodyMemory{}
-	m.available.Store(bytes)
-	return m
-}
-
-// Available returns the number of bytes that are not in use.
-func (m *BodyMemory) Available() int64 {
-	return m.available.Load()
-}
-
-// reserve reserves memory and reports whether enough was available. A nil BodyMemory has none.
-func (m *BodyMemory) reserve(bytes int64) bool {
-	if m == nil {
-		return false
-	}
-	if m.available.Add(-bytes) < 0 {
-		m.available.Add(bytes)
-		return false
-	}
-	return true
-}
-
 // ReadBody reads a request's body into memory: completely if the limits allow it, only its prefix otherwise. Release must be
 // called once the request has ended.
 func ReadBody(c *app.RequestContext, limits BodyLimits) (*Body, error) {
@@ -119,7 +89,7 @@
 	case b.Length >= 0:
 		want = b.Length
 	}
-	if !limits.Memory.reserve(want) {
+	if !limits.Memory.Reserve(want) {
 		return limits.PrefixBytes
 	}
 	b.memory, b.reserved = limits.Memory, want
@@ -142,7 +112,7 @@
 // Release returns the reserved memory. The body must not be sent afterwards.
 func (b *Body) Release() {
 	if b.reserved > 0 {
-		b.memory.available.Add(b.reserved)
+		b.memory.Release(b.reserved)
 		b.reserved = 0
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,10 +1,8 @@
-// Package relay passes requests and responses between a server connection and a client connection: it checks the
-// framing of a request, copies heads without their connection-level fields, reads bodies with limits, and streams a
+// Package relay passes requests and responses between a server connection and a client connection: it copies heads without their connection-level fields, reads bodies with limits, and streams a
 // response so that a body which was cut short is never presented as complete.
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -23,40 +21,12 @@
 )
 
 var (
-	// ErrFraming is returned for a request whose body length is ambiguous.
-	ErrFraming = errors.New("request framing is ambiguous")
 	// ErrBodyTooLarge is returned for a request body that exceeds its limit.
 	ErrBodyTooLarge = errors.New("request body exceeds the limit")
 	// ErrAborted is returned to hertz's server so that it closes the connection of an incomplete response.
 	ErrAborted = errors.New("response was aborted before its body was complete")
 )
 
-// CheckFraming returns an error for a request whose end another server could locate differently (request smuggling): one
-// with a content length and a transfer encoding, with several content lengths, or with a transfer encoding other than
-// chunked.
-func CheckFraming(h *protocol.RequestHeader) error {
-	lengths, encodings := 0, 0
-	rest := h.RawHeaders()
-	for len(rest) > 0 {
-		var line []byte
-		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
-				return fmt.Errorf("%w: transfer encoding %q", ErrFraming, bytes.TrimSpace(value))
-			}
-		}
-	}
-	if lengths > 1 || encodings > 1 || lengths+encodings > 1 {
-		return fmt.Errorf("%w: %d Content-Length and %d Transfer-Encoding fields", ErrFraming, lengths, encodings)
-	}
-	return nil
-}
-
 // connectionFields are the header fields that concern one connection only and are not passed on.
 var connectionFields = map[string]bool{
 	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true,
