Serve requests by the keys of workspaces

The key is taken off, the workspace's name is set on each attempt, its priority goes before the route's. Only configurations with workspaces are affected.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -44,6 +44,12 @@
 	ReasonWorkspaceUnknown Reason = "workspace-unknown"
 	// ReasonWorkspaceLimit means that the workspace has reached its limit of requests in flight.
 	ReasonWorkspaceLimit Reason = "workspace-limit"
+	// ReasonKeyUnknown means that the request carries no key of a workspace although its route requires one.
+	ReasonKeyUnknown Reason = "key-unknown"
+	// ReasonWorkspaceRate means that the workspace has sent more requests than its limit allows. ReasonWorkspaceUncounted means
+	// that the nodes which count the requests of the workspace cannot be reached.
+	ReasonWorkspaceRate      Reason = "workspace-rate"
+	ReasonWorkspaceUncounted Reason = "workspace-uncounted"
 	// ReasonNoEndpoint means that the service has no endpoint to which the request can be sent.
 	ReasonNoEndpoint Reason = "no-endpoint"
 	// ReasonNotReady means that the node has no configuration yet or does not accept requests yet.
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -63,6 +63,8 @@
 	// Priority orders the requests of the routes to a service; 0 is the highest priority.
 	Priority int      `json:"priority"`
 	Targets  []Target `json:"targets"`
+	// Public routes serve requests without a key of a workspace.
+	Public bool `json:"public,omitempty"`
 }
 
 // Service is a set of interchangeable endpoints.
@@ -90,7 +92,9 @@
 	Version  uint64    `json:"version"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
-	Limits   Limits    `json:"limits"`
+	// Workspaces are the customers. If there are any, requests of routes that are not public must carry a key.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+	Limits     Limits      `json:"limits"`
 }
 
 // Validate checks a configuration and returns all problems as one error. Each problem names the path of its field.
@@ -111,6 +115,7 @@
 	for n := range c.Routes {
 		c.Routes[n].validate(fmt.Sprintf("routes[%d]", n), services, report)
 	}
+	c.validateWorkspaces(report)
 	return errors.Join(problems...)
 }
 
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -11,6 +11,8 @@
 	// hosts holds the routes by host, in lower case, and path prefix.
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+	// workspaces holds the workspaces by their keys.
+	workspaces map[KeyDigest]*Workspace
 }
 
 // NewTable returns the table of a valid configuration.
@@ -19,6 +21,8 @@
 		config:   c,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(c.Services)),
+
+		workspaces: make(map[KeyDigest]*Workspace),
 	}
 	for n := range c.Routes {
 		r := &c.Routes[n]
@@ -31,9 +35,25 @@
 	for n := range c.Services {
 		t.services[c.Services[n].Name] = &c.Services[n]
 	}
+	for n := range c.Workspaces {
+		w := &c.Workspaces[n]
+		for _, key := range w.Keys {
+			t.workspaces[key] = w
+		}
+	}
 	return t
 }
 
+// RequiresKeys reports whether requests of routes that are not public must carry a key of a workspace.
+func (t *Table) RequiresKeys() bool {
+	return len(t.config.Workspaces) > 0
+}
+
+// WorkspaceOf returns the workspace that holds a key, or nil.
+func (t *Table) WorkspaceOf(key KeyDigest) *Workspace {
+	return t.workspaces[key]
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 {
 	return t.config.Version
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -19,6 +19,10 @@
 	// CallerService is the service whose endpoint shares the host of the node that received the request from its
 	// caller.
 	CallerService string
+	// Workspace is the name of the workspace whose key a request carries, which the endpoint does not see. The key follows
+	// KeyScheme in the field Authorization.
+	Workspace string
+	KeyScheme string
 	// Limit is set by an endpoint in its responses to the number of requests per second that it takes from all nodes together.
 	Limit string
 	// Leaving is set by an endpoint in its responses once it is leaving.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -157,7 +157,7 @@
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	usable := make([]*registry.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if c, ok := f.candidate(now, e, fl.request.route.Priority); ok {
+		if c, ok := f.candidate(now, e, fl.request.priority()); ok {
 			c.Tried = fl.tried[e.ID]
 			candidates = append(candidates, c)
 			usable = append(usable, e)
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -154,6 +154,10 @@
 // goroutines of their own, so that they may overlap.
 func (fl *flight) launch(ctx context.Context) bool {
 	f := fl.forwarder
+	if !f.keyInForce(fl.request) {
+		fl.failWith(refuseKey())
+		return false
+	}
 	p := f.choose(fl)
 	if p == nil {
 		fl.recordUnplaced()
@@ -252,6 +256,13 @@
 	}
 }
 
+// failWith keeps the reason why there is no further attempt, unless an earlier one may have run.
+func (fl *flight) failWith(failure *outcome.Error) {
+	if fl.failure == nil || fl.failure.Outcome == outcome.NotRun {
+		fl.failure = failure
+	}
+}
+
 // recordUnplaced keeps the reason why there was no endpoint for an attempt, unless an earlier one may have run.
 func (fl *flight) recordUnplaced() {
 	if fl.failure != nil && fl.failure.Outcome != outcome.NotRun {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -64,6 +64,9 @@
 	service string
 	// version is the version of the configuration that the route comes from.
 	version uint64
+	// workspace is the customer whose key, with the digest key, the request carries, or nil if there is none.
+	workspace *routing.Workspace
+	key       routing.KeyDigest
 	// fingerprint identifies the request among those that crash endpoints.
 	fingerprint string
 	head        *protocol.Request
@@ -77,6 +80,22 @@
 	return r.route.Kind.Repeatable()
 }
 
+// priority returns the rank of the request among those of its service; 0 is the highest.
+func (r *request) priority() int {
+	if r.workspace != nil && r.workspace.Priority != nil {
+		return *r.workspace.Priority
+	}
+	return r.route.Priority
+}
+
+// workspaceName returns the name of the workspace, or "" if there is none.
+func (r *request) workspaceName() string {
+	if r.workspace == nil {
+		return ""
+	}
+	return r.workspace.Name
+}
+
 // Serve handles a caller's request.
 func (f *Forwarder) Serve(parent context.Context, c *app.RequestContext) {
 	arrived := time.Now()
@@ -125,6 +144,9 @@
 		id: id, route: route, version: table.Version(), service: route.Pick(f.random()),
 		arrivedAt: arrived, deadline: arrived.Add(f.timeLimit(c, route)),
 	}
+	if failure := f.identify(&c.Request.Header, table, r); failure != nil {
+		return r, failure
+	}
 	limits := table.Limits()
 	// The header timeout of the configuration also limits the wait for each part of the body.
 	body, err := relay.ReadBody(c, relay.BodyLimits{
@@ -141,6 +163,7 @@
 		return r, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonLeaving, stepAccept, "", nil)
 	}
 	r.head = relay.RequestHead(&c.Request)
+	f.replaceKey(table, r)
 	r.fingerprint = f.fingerprint(r)
 	f.countRequest(r.service, r.repeatable())
 	return r, nil
@@ -191,7 +214,7 @@
 		Peer: a.pick.host, Outcome: string(result), Reason: reason,
 		Inputs: map[string]any{
 			"status": a.response.Head.StatusCode(), "attempt": a.pick.number, "ms": time.Since(r.arrivedAt).Milliseconds(),
-			"config_version": r.version, "target_ms": r.route.TargetLatency.Milliseconds(),
+			"config_version": r.version, "target_ms": r.route.TargetLatency.Milliseconds(), "workspace": r.workspaceName(),
 		},
 	})
 }
@@ -268,6 +291,7 @@
 	}
 	if r != nil {
 		d.Service, d.Route = r.service, r.route.Name
+		d.Inputs["workspace"] = r.workspaceName()
 		d.Inputs["config_version"], d.Inputs["ms"] = r.version, time.Since(r.arrivedAt).Milliseconds()
 		f.options.Metrics.Request(d.Service, failure.Outcome, time.Since(r.arrivedAt), addedUnknown)
 	}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -95,7 +95,7 @@
 		Long:          r.route.Kind == routing.Download,
 		MaxWait:       p.maxWait,
 		Remaining:     hopRemaining(time.Until(r.deadline)),
-		Priority:      r.route.Priority,
+		Priority:      r.priority(),
 		CallerService: f.options.CallerService(),
 		Announced:     f.options.Announcements.State(p.endpoint.ID),
 	}
