Limit the requests of workspaces over the whole fleet

Change: core/quota elects one holder for each slot of workspaces by votes of a group of four hosts that last 1.5 s; the holder hands out tokens that last a second. pkg/quotas connects it with the network. A request over the limit gets 429 with the time of the next token, one whose holder cannot be reached 503.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Outcome says what is known about the execution of a request.
@@ -174,6 +175,8 @@
 	// Recorded is the recorded state of the attempt that holds the key of a duplicate: "pending", or "completed" with the
 	// status code.
 	Recorded string
+	// RetryAfter is the time after which there will be room for the request, or 0 if it is not known.
+	RetryAfter time.Duration
 	// Err is the cause, or nil.
 	Err error
 }
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -108,6 +108,7 @@
 	Headers       dialect.Headers
 	Budget        retrybudget.Settings
 	Clock         clock.Clock
+	Quotas     Quotas
 	Decisions     *decision.Recorder
 	Logger        *slog.Logger
 	Metrics       *telemetry.Metrics
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -26,6 +26,7 @@
 const (
 	stepAccept  = "accept"
 	stepRoute   = "route"
+	stepQuota   = "quota"
 	stepBody    = "body"
 	stepChoose  = "choose"
 	stepSend    = "send"
@@ -118,6 +119,7 @@
 	}
 	f.respond(c, r, a)
 }
+		f.returnToken(r, token, failure)
 
 // accept checks a request, finds its route and reads the beginning of its body. The returned request is nil if it
 // was refused before its route was found.
@@ -254,8 +256,12 @@
 	c.Response.Header.SetContentType("application/json")
 	// A quarantine outlasts the deadline of any caller, so that a return would be in vain.
 	mayReturn := failure.Reason != outcome.ReasonQuarantined
-	if failure.Outcome == outcome.NotRun && failure.Status == http.StatusServiceUnavailable && mayReturn {
-		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r, failure.Reason).Seconds(), 'f', 3, 64))
+	returns := failure.Status == http.StatusServiceUnavailable || failure.Status == http.StatusTooManyRequests
+	if failure.Outcome == outcome.NotRun && returns && mayReturn {
+		c.Response.Header.Set("Retry-After", strconv.FormatFloat(f.retryAfter(r, failure).Seconds(), 'f', 3, 64))
+	}
+	if failure.Status == http.StatusUnauthorized {
+		c.Response.Header.Set("WWW-Authenticate", f.options.Headers.KeyScheme)
 	}
 	// Encoding cannot fail: all fields are strings.
 	text, _ := json.Marshal(refusal{Outcome: failure.Outcome, Reason: failure.Reason, RequestID: id})
@@ -269,12 +275,13 @@
 // retryAfter returns how long a refused caller is asked to wait. The waits are spread at random over the time in which a
 // full queue drains. If the endpoints limit the rate of their requests, they begin when there is room, which may be after the
 // caller's deadline.
-func (f *Forwarder) retryAfter(r *request, reason outcome.Reason) time.Duration {
+func (f *Forwarder) retryAfter(r *request, failure *outcome.Error) time.Duration {
 	if r == nil {
 		return notReadyRetryAfter
 	}
 	spread := time.Duration(f.random() * float64(retryAfterSpread))
-	if reason == outcome.ReasonLimited {
+	switch failure.Reason {
+	case outcome.ReasonLimited:
 		return max(f.untilRoom(r), retryAfterMin) + spread
 	}
 	wait := retryAfterMin + spread
@@ -282,6 +289,8 @@
 }
 
 func (f *Forwarder) recordRefusal(id string, r *request, failure *outcome.Error) {
+	case outcome.ReasonWorkspaceRate:
+		return max(failure.RetryAfter, retryAfterMin)
 	d := decision.Decision{
 		RequestID: id, Step: failure.Step, Outcome: string(failure.Outcome), Reason: string(failure.Reason),
 		Peer: failure.Peer, Inputs: map[string]any{"status": failure.Status},
--- a/pkg/forward/workspace.go
+++ b/pkg/forward/workspace.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/core/quota"
 	"agatepulley.example/agatepulley/core/routing"
 	"agatepulley.example/agatepulley/pkg/relay"
 )
@@ -61,6 +63,39 @@
 	}
 }
 
+// Quotas limits the requests of workspaces over the fleet. *quotas.Service implements it.
+type Quotas interface {
+	// Acquire takes a token for a request.
+	Acquire(ctx context.Context, w *routing.Workspace, version uint64) quota.Decision
+	// Return gives back the token of a request that was not run.
+	Return(w *routing.Workspace, d quota.Decision)
+}
+
+// takeToken takes a token for a request if its workspace has a limit, or refuses the request.
+func (f *Forwarder) takeToken(ctx context.Context, r *request) (quota.Decision, *outcome.Error) {
+	if r.workspace == nil || !r.workspace.Limited() {
+		return quota.Decision{}, nil
+	}
+	d := f.options.Quotas.Acquire(ctx, r.workspace, r.version)
+	status, reason := http.StatusTooManyRequests, outcome.ReasonWorkspaceRate
+	switch d.Verdict {
+	case quota.Admitted:
+		return d, nil
+	case quota.Uncounted:
+		status, reason = http.StatusServiceUnavailable, outcome.ReasonWorkspaceUncounted
+	}
+	failure := outcome.Refuse(status, reason, stepQuota, "", nil)
+	failure.RetryAfter = d.Wait
+	return d, failure
+}
+
+// returnToken gives the token of a request back if the request was not run.
+func (f *Forwarder) returnToken(r *request, d quota.Decision, failure *outcome.Error) {
+	if d.Verdict == quota.Admitted && failure.Outcome == outcome.NotRun {
+		f.options.Quotas.Return(r.workspace, d)
+	}
+}
+
 // keyInForce reports whether the workspace of a request still holds its key. The configuration may have changed while the request
 // waited.
 func (f *Forwarder) keyInForce(r *request) bool {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,6 +33,7 @@
 	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/peer"
 	"agatepulley.example/agatepulley/pkg/reports"
+	"agatepulley.example/agatepulley/pkg/quotas"
 	"agatepulley.example/agatepulley/pkg/suspects"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -42,6 +46,7 @@
 	serviceReports    = "peer.reports"
 	serviceSuspects   = "suspects"
 	serviceAnnounced  = "announcements"
+	serviceQuotas     = "quotas"
 	serviceDiscovery  = "discovery"
 	serviceDispatcher = "dispatcher"
 	serviceForwarder  = "forwarder"
@@ -83,6 +88,7 @@
 	reports   *reports.Service
 	suspects  *suspects.Service
 	// announcements holds what endpoints have announced in their responses.
+	quotas    *quotas.Service
 	announcements *announcements.Service
 
 	discovery  *discovery.Service
@@ -119,13 +125,16 @@
 	m.reports = reports.New(reports.Options{
 		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
 		Decisions: m.decisions, Fill: m.fillReport, Observe: m.observeReport,
-		Notice:    func(ip string, notice []byte) { m.suspects.Receive(ip, notice) },
+		Notice:    m.receiveNotice,
 		Announced: func(id string, announced announce.State) { m.announcements.Learn(id, announced) },
 	})
 	m.suspects = suspects.New(suspects.Options{
 		Clock: m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: tele.Metrics(), Network: m.reports,
 	})
 	m.discovery = discovery.New(discovery.Options{
+	m.quotas = quotas.New(quotas.Options{
+		IP: s.IP, Incarnation: m.incarnation, Clock: m.clock, Network: m.reports, Logger: m.logger,
+	})
 		Store: platform.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
 		FirstStart: s.FirstStart, Heartbeat: s.Heartbeat,
 		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
@@ -164,7 +173,7 @@
 		IP: s.IP, Zone: s.Zone, HopPort: hopPort,
 		CallerService: func() string { return m.settings.Load().Service },
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
-		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Announcements: m.announcements, Headers: platform.Headers,
+		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Quotas: m.quotas, Announcements: m.announcements, Headers: platform.Headers,
 		Budget: retrybudget.Settings{Ratio: s.RetryRatio, Constant: s.RetryConstant, Window: s.RetryWindow},
 		Clock:  m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: m.telemetry.Metrics(),
 	})
@@ -190,6 +199,7 @@
 	}
 	for _, s := range services {
 		if err := m.kernel.Register(s.name, s.service); err != nil {
+		{serviceQuotas, m.quotas},
 			return err
 		}
 	}
@@ -277,6 +287,15 @@
 // is sent with the next periodic reports, so that one change does not make every node send extra reports.
 func (m *Member) notifyPeers(source string) {
 	if source == discovery.SourceStore {
+// receiveNotice hands a notice of another node to the service that it is for.
+func (m *Member) receiveNotice(ip string, notice []byte) {
+	if quotas.Owns(notice) {
+		m.quotas.Receive(ip, notice)
+		return
+	}
+	m.suspects.Receive(ip, notice)
+}
+
 		m.reports.Notify()
 	}
 }
@@ -297,6 +316,7 @@
 	return net.JoinHostPort(ip, strconv.Itoa(m.settings.Load().PeerPort))
 }
 
+	m.quotas.SetHosts(slices.Collect(maps.Keys(zones)))
 const (
 	// settingsPeriod is the interval at which the settings are read again, since they may change without a signal.
 	settingsPeriod = time.Second
--- a/pkg/member/status.go
+++ b/pkg/member/status.go
@@ -121,6 +121,9 @@
 		metrics.ObserveGauge("agatepulley_closed_connections", "Connections that were closed because a head took too long or too many were open.", func() float64 {
 			return float64(m.callers.Closed() + m.hops.Closed())
 		}),
+		metrics.ObserveGauge("agatepulley_quota_slots_held", "Slots whose workspaces this node counts for the fleet.", func() float64 {
+			return float64(m.quotas.Held())
+		}),
 		metrics.ObserveGauge("agatepulley_panics", "Panics that were recovered.", func() float64 {
 			return float64(guard.Panics())
 		}),
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -24,6 +24,7 @@
 func (m *Member) stop() error {
 	m.life.Fire(lifecycle.Stop)
 	m.dispatcher.Leave()
+	m.quotas.Leave()
 	m.reports.Notify()
 	s, now := m.settings.Load(), time.Now()
 	m.forwarder.BeginDrain(lifecycle.Drain{Late: now.Add(s.StopNotice), End: now.Add(s.StopTimeout - 2*stopMargin)})
