Send requests to other regions only while that pays

What was missing: another zone was a fixed cost, so that a tenth of the requests left their region at random in calm, and most links for reports led to other regions. Regions were not known at all.

Change: where the settings name several regions, a request leaves while the wait at home is longer than what its bytes cost on the way, as large a share as works the queue off within a second (core/placement, leaveShare). Sizes are learned by route. Nodes report to all of their region up to 24, and to about six others once a second. The price of a kilobyte is a flag. One region: as before.

--- a/cmd/agatepulley/main.go
+++ b/cmd/agatepulley/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/pkg/member"
 	"agatepulley.example/agatepulley/pkg/node"
 	"agatepulley.example/agatepulley/pkg/settings"
@@ -101,7 +102,13 @@
 	if s.SiteSettings == "" {
 		return node.New(s, log)
 	}
-	load := func() (*member.Settings, error) { return platform.LoadSettings(s.SiteSettings) }
+	load := func() (*member.Settings, error) {
+		site, err := platform.LoadSettings(s.SiteSettings)
+		if err == nil {
+			site.Traffic = placement.Traffic{Zone: s.ZoneTrafficCost, Region: s.RegionTrafficCost}
+		}
+		return site, err
+	}
 	site, err := load()
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -44,8 +44,8 @@
 	SinceStart time.Duration
 	// RoundTrip is the round-trip time to the endpoint's host.
 	RoundTrip time.Duration
-	// OtherZone is set if the endpoint is in another availability zone than this node.
-	OtherZone bool
+	// OtherZone is set if the endpoint is in another availability zone than this node, and OtherRegion if it is in another region.
+	OtherZone, OtherRegion bool
 	// Tried is set if an earlier attempt of the request was sent to the endpoint. It is not chosen again.
 	Tried bool
 }
@@ -57,6 +57,10 @@
 	// Large is set if the request or its response has a large body. Such requests stay in their zone while it has free
 	// slots.
 	Large bool
+	// Bytes is the expected size of the request and its response, and Traffic what it costs to move them. If Traffic is zero,
+	// another zone costs a fixed share of the target latency.
+	Bytes   float64
+	Traffic Traffic
 	// MayExplore allows a probe of an endpoint that is not the best one, because there is time for another attempt if the
 	// probe fails.
 	MayExplore bool
@@ -194,6 +198,9 @@
 	excluded := func(c *Candidate) bool { return c.Tried || reserved && c.onlyProbes() }
 	for n := range candidates {
 		costs[n] = Cost(r, &candidates[n])
+	}
+	excluded = r.keepToSide(rng, candidates, excluded)
+	for n := range candidates {
 		if !excluded(&candidates[n]) {
 			lowest = min(lowest, costs[n])
 		}
@@ -281,13 +288,10 @@
 // Cost returns the expected cost of sending the request to the candidate, as a time in seconds.
 func Cost(r Request, c *Candidate) float64 {
 	unit := r.costUnit()
-	failure, zone := singleRunFailCost, otherZoneCost
+	failure := singleRunFailCost
 	if r.Repeatable {
 		failure = repeatableFailCost
 	}
-	if r.Large {
-		zone = largeOtherZoneCost
-	}
 	fails := c.failProbability()
 	service := c.ServiceTime.Seconds()
 	if service == 0 {
@@ -299,11 +303,7 @@
 	if free := c.idleSlots(); free < 1 {
 		cost += (1 - free) / float64(max(c.Slots, 1)) * service
 	}
-	cost += c.Wait().Seconds()
-	if c.OtherZone {
-		cost += zone * unit
-	}
-	return cost
+	return cost + c.Wait().Seconds() + r.trafficCost(c)
 }
 
 // failProbability returns the probability that the path to the candidate or the candidate itself fails a request.
--- a/pkg/forward/choose.go
+++ b/pkg/forward/choose.go
@@ -20,6 +20,8 @@
 	// milliseconds.
 	zoneRoundTrip  = 500 * time.Microsecond
 	otherRoundTrip = 8 * time.Millisecond
+	// regionRoundTrip is the same for hosts of other regions.
+	regionRoundTrip = 20 * time.Millisecond
 	// warmUpFactor is the factor by which an endpoint is assumed to be slower during its warm-up after a start.
 	warmUpFactor = 2
 	// loadLifetime is the age up to which a reported load is used. An older report is ignored, and only the requests that
@@ -75,6 +77,10 @@
 		Large:             fl.request.route.Kind.Large(),
 		TargetLatency:     fl.request.route.TargetLatency,
 		MedianServiceTime: placement.MedianServiceTime(candidates),
+		Traffic:           f.options.Traffic,
+	}
+	if r.Traffic != (placement.Traffic{}) {
+		r.Bytes = f.sizeOf(fl.request)
 	}
 	if fl.noRoom(candidates, r.MedianServiceTime) {
 		return nil
@@ -174,7 +180,11 @@
 		Slots: e.Slots, SinceStart: noStartAge, RoundTrip: zoneRoundTrip,
 		OtherZone: e.Zone != f.options.Zone, FailProbability: faultfilter.Initial,
 	}
-	if c.OtherZone {
+	c.OtherRegion = f.options.Regions.Of(e.Zone) != f.options.Regions.Of(f.options.Zone)
+	switch {
+	case c.OtherRegion:
+		c.RoundTrip = regionRoundTrip
+	case c.OtherZone:
 		c.RoundTrip = otherRoundTrip
 	}
 	known, ok := f.options.Conditions.Endpoint(e.ID)
@@ -250,12 +260,27 @@
 	if c.Limited {
 		inputs["limit"], inputs["credit"] = c.Limit, round(c.Credit)
 	}
+	if r.Traffic != (placement.Traffic{}) {
+		inputs["bytes"], inputs["distance"] = int(r.Bytes), distanceTo(c)
+		f.options.Metrics.Placed(fl.request.service, distanceTo(c), r.Bytes)
+	}
 	f.options.Decisions.Record(decision.Decision{
 		RequestID: fl.request.id, Step: stepChoose, Service: fl.request.service, Route: fl.request.route.Name,
 		Subject: p.endpoint.ID, Peer: p.host, Reason: string(p.reason), Inputs: inputs,
 	})
 }
 
+// distanceTo names how far a candidate is from the caller.
+func distanceTo(c *placement.Candidate) string {
+	switch {
+	case c.OtherRegion:
+		return "other-region"
+	case c.OtherZone:
+		return "other-zone"
+	}
+	return "own-zone"
+}
+
 // round rounds to three decimals, the precision of the reported probabilities, so that log lines stay short.
 func round(value float64) float64 {
 	return math.Round(value*1000) / 1000
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -12,6 +12,8 @@
 
 	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/membership"
+	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/core/retrybudget"
@@ -91,6 +93,9 @@
 	// IP and Zone are the address and the availability zone of this host.
 	IP   string
 	Zone string
+	// Regions holds the region of each zone, and Traffic what it costs to move bytes between them.
+	Regions membership.Regions
+	Traffic placement.Traffic
 	// HopPort is the port on which nodes accept requests from each other.
 	HopPort int
 	// CallerService returns the service whose endpoint runs on this host. Requests name it as the calling service.
@@ -103,12 +108,12 @@
 	Dispatcher *dispatch.Dispatcher
 	Inquirer   Inquirer
 	Suspects   Suspects
+	Quotas     Quotas
 	// Announcements holds what endpoints have announced in their responses.
 	Announcements Announcements
 	Headers       dialect.Headers
 	Budget        retrybudget.Settings
 	Clock         clock.Clock
-	Quotas     Quotas
 	Decisions     *decision.Recorder
 	Logger        *slog.Logger
 	Metrics       *telemetry.Metrics
@@ -125,6 +130,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	pools   map[string]*transport.Pool // by IP address of the host
+	sizes   sizes
 	retries *retrybudget.Ledger
 
 	cancel context.CancelFunc
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -112,14 +112,19 @@
 	ctx, cancel := relay.WithTimeout(parent, time.Until(r.deadline))
 	defer cancel()
 	defer relay.WatchDisconnect(c, r.body)()
+	token, failure := f.takeToken(ctx, r)
+	if failure != nil {
+		f.refuse(c, id, r, failure)
+		return
+	}
 	a, failure := f.deliver(ctx, r)
 	if failure != nil {
+		f.returnToken(r, token, failure)
 		f.refuse(c, id, r, failure)
 		return
 	}
 	f.respond(c, r, a)
 }
-		f.returnToken(r, token, failure)
 
 // accept checks a request, finds its route and reads the beginning of its body. The returned request is nil if it
 // was refused before its route was found.
@@ -199,6 +204,7 @@
 		// The endpoint may have answered before it read the rest of the body, which must not be parsed as the next request.
 		c.SetConnectionClose()
 	}
+	f.observeSize(r, max(a.response.Length, int64(len(a.prefix))))
 	var err error
 	if a.complete && !a.response.Bodyless() {
 		c.Response.SetBody(a.prefix)
@@ -283,14 +289,14 @@
 	switch failure.Reason {
 	case outcome.ReasonLimited:
 		return max(f.untilRoom(r), retryAfterMin) + spread
+	case outcome.ReasonWorkspaceRate:
+		return max(failure.RetryAfter, retryAfterMin)
 	}
 	wait := retryAfterMin + spread
 	return max(min(wait, time.Duration(retryAfterShare*float64(time.Until(r.deadline)))), 0)
 }
 
 func (f *Forwarder) recordRefusal(id string, r *request, failure *outcome.Error) {
-	case outcome.ReasonWorkspaceRate:
-		return max(failure.RetryAfter, retryAfterMin)
 	d := decision.Decision{
 		RequestID: id, Step: failure.Step, Outcome: string(failure.Outcome), Reason: string(failure.Reason),
 		Peer: failure.Peer, Inputs: map[string]any{"status": failure.Status},
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"agatepulley.example/agatepulley/core/announce"
+	"agatepulley.example/agatepulley/core/placement"
 	"agatepulley.example/agatepulley/core/registry"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/core/routing"
@@ -32,8 +33,8 @@
 	"agatepulley.example/agatepulley/pkg/kernel"
 	"agatepulley.example/agatepulley/pkg/lifecycle"
 	"agatepulley.example/agatepulley/pkg/peer"
-	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/quotas"
+	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/suspects"
 	"agatepulley.example/agatepulley/pkg/telemetry"
 )
@@ -45,8 +46,8 @@
 	servicePeers      = "peer.network"
 	serviceReports    = "peer.reports"
 	serviceSuspects   = "suspects"
-	serviceAnnounced  = "announcements"
 	serviceQuotas     = "quotas"
+	serviceAnnounced  = "announcements"
 	serviceDiscovery  = "discovery"
 	serviceDispatcher = "dispatcher"
 	serviceForwarder  = "forwarder"
@@ -87,8 +88,8 @@
 	peers     *peer.Service
 	reports   *reports.Service
 	suspects  *suspects.Service
-	// announcements holds what endpoints have announced in their responses.
 	quotas    *quotas.Service
+	// announcements holds what endpoints have announced in their responses.
 	announcements *announcements.Service
 
 	discovery  *discovery.Service
@@ -123,7 +124,7 @@
 		Clock: m.clock, Logger: m.logger, ExchangeInterval: noExchange,
 	})
 	m.reports = reports.New(reports.Options{
-		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
+		IP: s.IP, Port: s.PeerPort, Zone: s.Zone, Regions: s.Regions, Incarnation: m.incarnation, Clock: m.clock, Logger: m.logger,
 		Decisions: m.decisions, Fill: m.fillReport, Observe: m.observeReport,
 		Notice:    m.receiveNotice,
 		Announced: func(id string, announced announce.State) { m.announcements.Learn(id, announced) },
@@ -131,10 +132,10 @@
 	m.suspects = suspects.New(suspects.Options{
 		Clock: m.clock, Decisions: m.decisions, Logger: m.logger, Metrics: tele.Metrics(), Network: m.reports,
 	})
-	m.discovery = discovery.New(discovery.Options{
 	m.quotas = quotas.New(quotas.Options{
 		IP: s.IP, Incarnation: m.incarnation, Clock: m.clock, Network: m.reports, Logger: m.logger,
 	})
+	m.discovery = discovery.New(discovery.Options{
 		Store: platform.Store, Network: m.peers, Readers: m.reports, Clock: m.clock, Decisions: m.decisions, Logger: m.logger,
 		FirstStart: s.FirstStart, Heartbeat: s.Heartbeat,
 		ConfigChanged: m.configChanged, EndpointsChanged: m.endpointsChanged,
@@ -170,7 +171,7 @@
 		m.logger.Error("invalid listen address for other nodes", "address", s.HopListen, "error", errors.Join(err, convErr))
 	}
 	return forward.New(forward.Options{
-		IP: s.IP, Zone: s.Zone, HopPort: hopPort,
+		IP: s.IP, Zone: s.Zone, Regions: s.Regions, Traffic: trafficOf(s), HopPort: hopPort,
 		CallerService: func() string { return m.settings.Load().Service },
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
 		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Quotas: m.quotas, Announcements: m.announcements, Headers: platform.Headers,
@@ -179,6 +180,14 @@
 	})
 }
 
+// trafficOf returns what it costs to move bytes between zones and regions, or zero where there is one region.
+func trafficOf(s *Settings) placement.Traffic {
+	if !s.Regions.Several() {
+		return placement.Traffic{}
+	}
+	return s.Traffic
+}
+
 func (m *Member) register() error {
 	services := []struct {
 		name    string
@@ -190,6 +199,7 @@
 		{servicePeers, m.peers},
 		{serviceReports, m.reports},
 		{serviceSuspects, m.suspects},
+		{serviceQuotas, m.quotas},
 		{serviceAnnounced, m.announcements},
 		{serviceDispatcher, m.dispatcher},
 		{serviceForwarder, m.forwarder},
@@ -199,7 +209,6 @@
 	}
 	for _, s := range services {
 		if err := m.kernel.Register(s.name, s.service); err != nil {
-		{serviceQuotas, m.quotas},
 			return err
 		}
 	}
@@ -278,15 +287,6 @@
 	return ""
 }
 
-// configChanged is called after a new configuration is in force.
-func (m *Member) configChanged(_ *routing.Table, source string) {
-	m.notifyPeers(source)
-}
-
-// notifyPeers sends reports to the other nodes at once if a change was read from the store. A change that came from a peer
-// is sent with the next periodic reports, so that one change does not make every node send extra reports.
-func (m *Member) notifyPeers(source string) {
-	if source == discovery.SourceStore {
 // receiveNotice hands a notice of another node to the service that it is for.
 func (m *Member) receiveNotice(ip string, notice []byte) {
 	if quotas.Owns(notice) {
@@ -296,6 +296,15 @@
 	m.suspects.Receive(ip, notice)
 }
 
+// configChanged is called after a new configuration is in force.
+func (m *Member) configChanged(_ *routing.Table, source string) {
+	m.notifyPeers(source)
+}
+
+// notifyPeers sends reports to the other nodes at once if a change was read from the store. A change that came from a peer
+// is sent with the next periodic reports, so that one change does not make every node send extra reports.
+func (m *Member) notifyPeers(source string) {
+	if source == discovery.SourceStore {
 		m.reports.Notify()
 	}
 }
@@ -307,6 +316,7 @@
 		zones[ip] = endpoints[0].Zone
 	}
 	m.reports.SetHosts(zones)
+	m.quotas.SetHosts(slices.Collect(maps.Keys(zones)))
 	m.announcements.Update(view)
 	m.dispatcher.Update(view)
 	m.notifyPeers(source)
@@ -316,7 +326,6 @@
 	return net.JoinHostPort(ip, strconv.Itoa(m.settings.Load().PeerPort))
 }
 
-	m.quotas.SetHosts(slices.Collect(maps.Keys(zones)))
 const (
 	// settingsPeriod is the interval at which the settings are read again, since they may change without a signal.
 	settingsPeriod = time.Second
@@ -349,7 +358,7 @@
 		}
 		return err.Error()
 	}
-	if before := m.settings.Load(); *s != *before {
+	if before := m.settings.Load(); !reflect.DeepEqual(s, before) {
 		m.settings.Store(s)
 		m.logger.Info("settings reloaded", "service", s.Service, "before", before.Service)
 	}
--- a/pkg/member/settings.go
+++ b/pkg/member/settings.go
@@ -1,6 +1,11 @@
 package member
 
-import "time"
+import (
+	"time"
+
+	"agatepulley.example/agatepulley/core/membership"
+	"agatepulley.example/agatepulley/core/placement"
+)
 
 // Settings are the settings of one node. They come from the platform that the node runs on.
 type Settings struct {
@@ -8,6 +13,10 @@
 	IP     string
 	Zone   string
 	Region string
+	// Regions holds the region of each zone.
+	Regions membership.Regions
+	// Traffic is what it costs to move bytes to other zones and regions. It counts where there are several regions.
+	Traffic placement.Traffic
 
 	// CallerListen is the listen address for callers on the same host, HopListen that for requests from other nodes, and
 	// AdminListen that for readiness, status and metrics.
--- a/pkg/reports/service.go
+++ b/pkg/reports/service.go
@@ -13,6 +13,7 @@
 
 	"agatepulley.example/agatepulley/core/announce"
 	"agatepulley.example/agatepulley/core/faultfilter"
+	"agatepulley.example/agatepulley/core/membership"
 	"agatepulley.example/agatepulley/pkg/clock"
 	"agatepulley.example/agatepulley/pkg/decision"
 	"agatepulley.example/agatepulley/pkg/guard"
@@ -42,9 +43,11 @@
 
 // Options are the settings and dependencies of a Service.
 type Options struct {
-	IP          string
-	Port        int
-	Zone        string
+	IP   string
+	Port int
+	Zone string
+	// Regions holds the region of each zone.
+	Regions     membership.Regions
 	Incarnation uint64
 	Clock       clock.Clock
 	Logger      *slog.Logger
@@ -112,7 +115,7 @@
 		wake:      make(chan struct{}, 1),
 		hosts:     make(map[string]*host),
 		endpoints: make(map[string]*ReceivedEndpoint),
-		shares:    newShares(1, 1),
+		shares:    newShares(1, 1, 1),
 	}
 }
 
@@ -160,7 +163,7 @@
 
 // updateLinks chooses the hosts with which this node exchanges reports. The caller holds the lock.
 func (s *Service) updateLinks() {
-	zone, fleet := 1, 1
+	zone, region, fleet := 1, 1, 1
 	for _, h := range s.hosts {
 		// Hosts without registered endpoints are not counted, since nodes do not remove them at the same time and both ends
 		// of a link need the same numbers.
@@ -171,8 +174,11 @@
 		if h.zone == s.options.Zone {
 			zone++
 		}
+		if s.sameRegion(h) {
+			region++
+		}
 	}
-	s.shares = newShares(zone, fleet)
+	s.shares = newShares(zone, region, fleet)
 	for ip, h := range s.hosts {
 		if h.linked = s.linked(ip, h); !h.linked {
 			// The host no longer sends reports to this one, so the lack of reports must not count as a failure.
@@ -382,8 +388,11 @@
 
 // interval returns the time between reports to or from a host. The caller holds the lock.
 func (s *Service) interval(h *host) time.Duration {
-	if h.zone == s.options.Zone {
+	switch {
+	case h.zone == s.options.Zone:
 		return interval
+	case s.sameRegion(h):
+		return otherZoneInterval
 	}
-	return otherZoneInterval
+	return otherRegionInterval
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -32,6 +32,9 @@
 	DrainTimeout time.Duration `long:"drain-timeout" env:"AGATEPULLEY_DRAIN_TIMEOUT" value-name:"DURATION" default:"15m" description:"longest wait for requests in flight at a planned stop"`
 	DrainNotice  time.Duration `long:"drain-notice" env:"AGATEPULLEY_DRAIN_NOTICE" value-name:"DURATION" default:"3s" description:"time for which callers that keep arriving are still served at a planned stop"`
 
+	ZoneTrafficCost   time.Duration `long:"zone-traffic-cost" env:"AGATEPULLEY_ZONE_TRAFFIC_COST" value-name:"DURATION" default:"5ms" description:"wait that a caller should bear rather than move a kilobyte to another zone of the region; counts where there are several regions"`
+	RegionTrafficCost time.Duration `long:"region-traffic-cost" env:"AGATEPULLEY_REGION_TRAFFIC_COST" value-name:"DURATION" default:"50ms" description:"the same for a kilobyte to another region"`
+
 	// SiteSettings names the settings file of a platform on which endpoints register themselves. The addresses in it
 	// replace those above.
 	SiteSettings string `long:"site-settings" env:"AGATEPULLEY_SETTINGS" value-name:"FILE" description:"settings file of the platform; the node then joins the fleet of its registered endpoints"`
@@ -120,7 +123,9 @@
 	validID       = "1 to 64 letters, digits, '-', '_' or '.'"
 	validBackend  = "ENDPOINT=IP:PORT; IP:PORT alone only for a single backend without --config-service and --seed-peer"
 	validDuration = "0 to 24h"
+	validCost     = "0 to 1m"
 	maxIDLength   = 64
+	maxCost       = time.Minute
 	maxDuration   = 24 * time.Hour
 	// maxPortOffset is the distance from the port of --listen to the last port derived from it.
 	maxPortOffset = 3
@@ -153,6 +158,8 @@
 		report(validAddressPort(peer), "seed-peer", peer, validAddress)
 	}
 	s.checkBackends(report)
+	report(validTrafficCost(s.ZoneTrafficCost), "zone-traffic-cost", s.ZoneTrafficCost.String(), validCost)
+	report(validTrafficCost(s.RegionTrafficCost), "region-traffic-cost", s.RegionTrafficCost.String(), validCost)
 	report(validDrainPeriod(s.DrainTimeout), "drain-timeout", s.DrainTimeout.String(), validDuration)
 	report(validDrainPeriod(s.DrainNotice), "drain-notice", s.DrainNotice.String(), validDuration)
 	return errors.Join(problems...)
@@ -192,6 +199,11 @@
 	return d >= 0 && d <= maxDuration
 }
 
+// validTrafficCost reports whether a duration is within validCost.
+func validTrafficCost(d time.Duration) bool {
+	return d >= 0 && d <= maxCost
+}
+
 // validName reports whether a text is an ID or name as validID describes it.
 func validName(text string) bool {
 	if text == "" || len(text) > maxIDLength {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -60,6 +60,8 @@
 	late        metric.Int64Counter
 	mismatched  metric.Int64Counter
 	pauses      metric.Int64Counter
+	placed      metric.Int64Counter
+	placedBytes metric.Int64Counter
 	labelsCache labelCache
 }
 
@@ -81,6 +83,8 @@
 	m.late = b.counter("agatepulley_late_answers", "Responses that arrived after their request had ended.")
 	m.mismatched = b.counter("agatepulley_mismatched_answers", "Responses whose request id or attempt did not match.")
 	m.pauses = b.counter("agatepulley_pauses", "Pauses of the process that were detected.")
+	m.placed = b.counter("agatepulley_placed", "Attempts by service and distance of the endpoint, where there are several regions.")
+	m.placedBytes = b.counter("agatepulley_placed_bytes", "Expected bytes of these attempts and their responses.")
 	if err := b.err(); err != nil {
 		return nil, err
 	}
@@ -122,6 +126,14 @@
 	}
 }
 
+// Placed records an attempt at an endpoint, whose distance has a name, and the bytes that it is expected to move.
+func (m *Metrics) Placed(service, distance string, bytes float64) {
+	if m != nil {
+		m.add(m.placed, 1, "service", service, "distance", distance)
+		m.add(m.placedBytes, int64(bytes), "service", service, "distance", distance)
+	}
+}
+
 // Ejected records that an endpoint of the service was ejected in this node's view.
 func (m *Metrics) Ejected(service string) {
 	if m != nil {
