Play keys, limits and older stores in the soak

Plans with workspaces let each request carry a key, one workspace sends more than its limit, and the store comes back from copies beside all other faults. Checked are the workspace that endpoints see, the limit over all nodes, and all guarantees as before.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -59,6 +59,8 @@
 	host                   int
 	incarnation            int
 	repeatable, gaveUp     bool
+	// workspace is that of the key that the request carries, or empty if it carries none.
+	workspace string
 	// marker is the version whose route the request uses, or 0.
 	marker int
 	// crashing is set if the request crashes each endpoint that runs it.
@@ -129,6 +131,9 @@
 	r = c.request(h, k.method, k.prefix)
 	r.repeatable, r.body = k.repeatable, strings.Repeat("b", k.body)
 	r.gaveUp = c.rng.Float64() < giveUpShare
+	if r.workspace != "" && c.next%limitedEvery == 0 {
+		r.workspace = workspaceLimited
+	}
 	return r, c.rng.Float64() < freshShare
 }
 
@@ -138,6 +143,9 @@
 	r := &sent{
 		id: fmt.Sprintf("%s-%d", c.run, c.next), method: method, host: h.number, incarnation: int(h.restarts.Load()), at: time.Now(),
 	}
+	if c.fleet.workspaces {
+		r.workspace = workspaceFree
+	}
 	r.path = prefix + strconv.Itoa(c.next) + "?n=" + strconv.Itoa(c.next)
 	c.all = append(c.all, r)
 	return r
@@ -214,6 +222,8 @@
 	request.Header.Set(names.RequestID, r.id)
 	request.Header.Set(names.DeadlineMS, strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set(names.CallerService, "forged")
+	request.Header.Set(names.Workspace, "forged")
+	r.authorize(request.Header)
 	// The client must not send a request again by itself.
 	request.GetBody = nil
 	response, err := client.Do(request)
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -60,6 +60,7 @@
 	}
 	found = append(found, r.crashesPastProof()...)
 	found = append(found, r.beyondAnnouncements()...)
+	found = append(found, r.beyondLimits()...)
 	slices.Sort(found)
 	return append(append(found, r.regressions()...), r.failedStops()...)
 }
@@ -129,6 +130,7 @@
 		if callers := r.services(s.host, s.at); !slices.Contains(callers, one.Caller) {
 			add("UNASKED", s, "caller %q, not one of %q", one.Caller, callers)
 		}
+		r.checkWorkspace(s, one, add)
 		r.checkDrain(s, one, add)
 	}
 }
--- a/bench/soak/cmd/main.go
+++ b/bench/soak/cmd/main.go
@@ -24,6 +24,7 @@
 	Duration time.Duration `long:"duration" default:"10s" description:"time in which faults start"`
 	Crashing int           `long:"crashing-requests" default:"2" description:"requests that crash each endpoint which runs them"`
 	Silent   bool          `long:"no-announcements" description:"endpoints announce neither limits nor that they leave"`
+	Spaces   bool          `long:"workspaces" description:"requests carry keys, one workspace is limited, and the store comes back from older copies"`
 	Dir      string        `long:"dir" description:"directory for logs; they are kept for seeds that fail" default:"out/soak"`
 }
 
@@ -90,7 +91,7 @@
 		return false, err.Error()
 	}
 	defer progress.Close()
-	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration, CrashingRequests: o.Crashing, Announcements: !o.Silent}
+	plan := soak.Plan{Seed: seed, Hosts: o.Hosts, Duration: o.Duration, CrashingRequests: o.Crashing, Announcements: !o.Silent, Workspaces: o.Spaces}
 	outcome, err := soak.Play(context.Background(), plan, binaries, logs, progress)
 	if err != nil {
 		return false, fmt.Sprintf("seed %d: %v", seed, err)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -98,7 +98,11 @@
 	defer x.mu.Unlock()
 	x.version++
 	routes := append(stableRoutes(), platformtest.Route{Prefix: markerPrefix(x.version), Kind: "safe", Service: serviceDesk})
-	x.fleet.store.Publish(x.version, routes...)
+	if x.fleet.workspaces {
+		x.fleet.store.PublishTenants(x.version, tenants(), routes...)
+	} else {
+		x.fleet.store.Publish(x.version, routes...)
+	}
 	x.published[x.version] = time.Now()
 }
 
@@ -185,6 +189,9 @@
 	if plan.Announcements {
 		actions = slices.Concat(actions, announcing)
 	}
+	if plan.Workspaces {
+		actions = slices.Concat(actions, workspaceActions)
+	}
 	for ctx.Err() == nil {
 		gap := time.Duration(x.rng.ExpFloat64() * float64(meanGap))
 		a := actions[x.rng.IntN(len(actions))]
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -78,6 +78,8 @@
 	basePort int
 	network  int
 	hosts    []*host
+	// workspaces is set if requests carry keys.
+	workspaces bool
 	// endpointCrashed is called when a request has crashed an endpoint.
 	endpointCrashed func(h *host, crashed *platformtest.Endpoint)
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -23,6 +23,9 @@
 	CrashingRequests int
 	// Announcements lets endpoints announce limits and their leaving at random, among the other faults.
 	Announcements bool
+	// Workspaces lets requests carry keys of workspaces, one of which is limited, and lets the store come back from older copies,
+	// among the other faults.
+	Workspaces bool
 	// Limits are limits, in requests per second, that as many endpoints announce in their responses. If Leaving is set, another
 	// endpoint announces that it is leaving, and its entry stays as it is.
 	Limits  []float64
@@ -92,6 +95,7 @@
 		fmt.Fprintf(out, "%6.2f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
 	}
 	x := newFaults(f, plan.Seed, say)
+	f.workspaces = plan.Workspaces
 	x.publish()
 	f.endpointCrashed = x.restartCrashed
 	if err := f.start(ctx); err != nil {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -118,3 +118,16 @@
 	plan := soak.Plan{Seed: 5, Hosts: 6, Duration: 6 * time.Second, Leaving: true, RestartBeside: true, NoOtherFaults: true}
 	gomega.NewWithT(t).Expect(play(t, plan).Violations).To(gomega.BeEmpty())
 }
+
+// Guards against keys, limits and a store that comes back older which fail only beside other faults.
+func TestWorkspacesBesideOtherFaults(t *testing.T) {
+	for _, seed := range []uint64{301, 302} {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			outcome := play(t, soak.Plan{Seed: seed, Hosts: 6, Duration: 8 * time.Second, Workspaces: true})
+			g := gomega.NewWithT(t)
+			g.Expect(outcome.Violations).To(gomega.BeEmpty())
+			g.Expect(outcome.Served).To(gomega.BeNumerically(">", 0))
+		})
+	}
+}
