--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -17,6 +17,7 @@
 	"github.com/onsi/gomega"
 
 	"agatepulley.example/agatepulley/bench/processes"
+	"agatepulley.example/agatepulley/platform"
 	"agatepulley.example/agatepulley/platform/platformtest"
 )
 
@@ -109,7 +110,7 @@
 			return 0, err
 		}
 		request.Host = platformtest.RouteHost
-		request.Header = http.Header{"X-Request-Id": {fmt.Sprintf("ordinary-%d", number)}, "X-Deadline-Ms": {"1500"}}
+		request.Header = http.Header{names.RequestID: {fmt.Sprintf("ordinary-%d", number)}, names.DeadlineMS: {"1500"}}
 		response, err := client.Do(request)
 		if err != nil {
 			return 0, err
@@ -156,9 +157,12 @@
 	}
 }
 
-const (
+// names are the header names of the platform.
+var names = platform.Headers()
+
+var (
 	requestLine = "GET /read/x HTTP/1.1\r\n"
-	commonHead  = "Host: " + platformtest.RouteHost + "\r\nX-Request-Id: crowd\r\nX-Deadline-Ms: 1000\r\n"
+	commonHead  = fmt.Sprintf("Host: %s\r\n%s: crowd\r\n%s: 1000\r\n", platformtest.RouteHost, names.RequestID, names.DeadlineMS)
 	wholeHead   = requestLine + commonHead + "\r\n"
 	bodyHead    = "POST /book/x HTTP/1.1\r\n" + commonHead
 )
