Take no response whose head has no status line of HTTP/1

Cause: the check of the status looked at fixed places of the first line only. A head shorter than that, such as "HTTP/1.1 0" with two line feeds, went to the parser, which took the status 0 for 200; so did a first line with another word for the version, behind which the 000 of "X 000 ab 200 OK" lies outside the places. Change: the version is checked too, and a head that ends before the status is an error.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,5 +1,6 @@
-// Package relay passes requests and responses between a server connection and a client connection: it copies heads without their connection-level fields, reads bodies with limits, and streams a
-// response so that a body which was cut short is never presented as complete.
+// Package relay passes requests and responses between a server connection and a client connection: it copies heads without their
+// connection-level fields, reads bodies with limits, and streams a response so that a body which was cut short is never presented as
+// complete.
 package relay
 
 import (
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -162,17 +162,22 @@
 	return fmt.Errorf("%d interim (1xx) responses without a final one", maxInterimResponses)
 }
 
-// checkStatus returns an error if the status of the next response is not a number from 100 to 599. hertz takes any digits for a
-// status, and 000 for 200. A head that is too short is left to the parser.
+// checkStatus returns an error unless the next response begins with a status line of HTTP/1 whose status is a number from 100 to
+// 599. hertz takes any digits for a status, 000 for 200, and any word for a version. No valid head is shorter than what is checked;
+// only if nothing has arrived, the parser says why.
 func (p *Pending) checkStatus() error {
 	line, err := p.conn.Peek(len("HTTP/1.1 200\r"))
 	if err != nil {
+		if arrived := p.conn.Len(); arrived > 0 {
+			return fmt.Errorf("%w: response ends after %d bytes: %w", ErrInvalidStatus, arrived, err)
+		}
 		return nil
 	}
-	code, end := line[len("HTTP/1.1 "):len("HTTP/1.1 200")], line[len("HTTP/1.1 200")]
+	version, code, end := line[:len("HTTP/1.1 ")], line[len("HTTP/1.1 "):len("HTTP/1.1 200")], line[len("HTTP/1.1 200")]
 	isDigit := func(b byte) bool { return '0' <= b && b <= '9' }
 	valid := '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
-	if !valid || (end != ' ' && end != '\r' && end != '\n') {
+	isHTTP := string(version) == "HTTP/1.1 " || string(version) == "HTTP/1.0 "
+	if !isHTTP || !valid || (end != ' ' && end != '\r' && end != '\n') {
 		return fmt.Errorf("%w: response begins with %q", ErrInvalidStatus, line)
 	}
 	return nil
--- a/pkg/transport/status_test.go
+++ b/pkg/transport/status_test.go
@@ -42,3 +42,26 @@
 		}
 	}
 }
+
+// Guards against heads that pass the check of the status because their status stands elsewhere, or because they are too short for
+// one that says something.
+func TestHeadsWithoutAStatusLineAreErrors(t *testing.T) {
+	options := transport.Options{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4}
+	for _, head := range []string{
+		"HTTP/1.1 0\n\n", "HTTP/1.1 \n\n", "X 0\n\n", "X 0\r\n\r\n", "X 000 ab 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/111 200 OK\r\nContent-Length: 2\r\n\r\nok", "XTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			request := &transport.Request{Head: &protocol.Request{}}
+			request.Head.SetRequestURI("/x")
+			request.Head.Header.SetHost("h")
+			pending, err := transport.NewPool(serveRaw(t, head), options, &transport.Stats{}).Send(t.Context(), request)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			response, err := pending.Await()
+			var exchange *transport.Error
+			g.Expect(errors.As(err, &exchange)).To(gomega.BeTrue(), "got a response: %v", response)
+			g.Expect(exchange.MaybeSent).To(gomega.BeTrue(), "the request may have run")
+		})
+	}
+}
