--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -89,12 +89,11 @@
 	return r.route.Priority
 }
 
-// workspaceName returns the name of the workspace, or "" if there is none.
-func (r *request) workspaceName() string {
-	if r.workspace == nil {
-		return ""
+// nameWorkspace adds the workspace of the request, if it has one, to a decision.
+func (r *request) nameWorkspace(d *decision.Decision) {
+	if r.workspace != nil {
+		d.Inputs["workspace"] = r.workspace.Name
 	}
-	return r.workspace.Name
 }
 
 // Serve handles a caller's request.
@@ -221,14 +220,16 @@
 		result, reason = outcome.Unknown, string(cutReason(err))
 	}
 	f.options.Metrics.Request(r.service, result, time.Since(r.arrivedAt), addedUnknown)
-	f.options.Decisions.Record(decision.Decision{
+	d := decision.Decision{
 		RequestID: r.id, Step: stepRespond, Service: r.service, Route: r.route.Name, Subject: a.pick.endpoint.ID,
 		Peer: a.pick.host, Outcome: string(result), Reason: reason,
 		Inputs: map[string]any{
 			"status": a.response.Head.StatusCode(), "attempt": a.pick.number, "ms": time.Since(r.arrivedAt).Milliseconds(),
-			"config_version": r.version, "target_ms": r.route.TargetLatency.Milliseconds(), "workspace": r.workspaceName(),
+			"config_version": r.version, "target_ms": r.route.TargetLatency.Milliseconds(),
 		},
-	})
+	}
+	r.nameWorkspace(&d)
+	f.options.Decisions.Record(d)
 }
 
 // cutReason returns the reason why a response body was cut short: the endpoint's side of the transfer failed, or the caller
@@ -310,7 +311,7 @@
 	}
 	if r != nil {
 		d.Service, d.Route = r.service, r.route.Name
-		d.Inputs["workspace"] = r.workspaceName()
+		r.nameWorkspace(&d)
 		d.Inputs["config_version"], d.Inputs["ms"] = r.version, time.Since(r.arrivedAt).Milliseconds()
 		f.options.Metrics.Request(d.Service, failure.Outcome, time.Since(r.arrivedAt), addedUnknown)
 	}
--- a/pkg/forward/sizes.go
+++ b/pkg/forward/sizes.go
@@ -1,6 +1,10 @@
 package forward
 
-import "sync"
+import (
+	"sync"
+
+	"agatepulley.example/agatepulley/core/placement"
+)
 
 const (
 	// A route whose requests have not been answered yet is assumed to move smallBytes, or largeBytes if its kind moves many.
@@ -33,8 +37,11 @@
 	return smallBytes
 }
 
-// observeSize takes the size of a request and its response into account.
+// observeSize takes the size of a request and its response into account where bytes have a price.
 func (f *Forwarder) observeSize(r *request, responseBytes int64) {
+	if f.options.Traffic == (placement.Traffic{}) {
+		return
+	}
 	size := float64(headBytes + max(r.body.Length, 0) + max(responseBytes, 0))
 	f.sizes.mu.Lock()
 	defer f.sizes.mu.Unlock()
