Play endpoints in trouble against real processes

Answers that are malformed, and heads and bodies without end, from an endpoint of a real node process of both kinds, for callers and for another node.

TestMalformedAnswers failed on in 40 of 64 cases, with both kinds of node: the caller got status 200 (or 101). Status 000 and 999 were refused before; those cases stay.

TestEndlessAnswers asks whether an endpoint that sends bytes without end can make a process run out of memory, as reported by other operators.

--- a/bench/crowd/machine_test.go
+++ b/bench/crowd/machine_test.go
@@ -71,7 +71,9 @@
 	kind        kind
 	ip          string
 	descriptors int
-	node        *processes.Process
+	// raw, if not nil, returns what the endpoint writes to the connection instead of a response, or nil.
+	raw  func(r *http.Request) func(w io.Writer)
+	node *processes.Process
 	// incarnation is that of the process.
 	incarnation uint64
 }
@@ -97,11 +99,18 @@
 }
 
 func startKind(t *testing.T, k kind, descriptors int) *machine {
-	m := &machine{kind: k, ip: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff), descriptors: descriptors}
+	m := &machine{kind: k, descriptors: descriptors}
+	m.start(t)
+	return m
+}
+
+// start starts the processes of a machine.
+func (m *machine) start(t *testing.T) {
+	m.ip = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
 	large := strings.Repeat("film", largeBytes/len("film"))
 	dir := t.TempDir()
 	var arguments []string
-	if k == published {
+	if m.kind == published {
 		m.startBackend(t, large)
 		arguments = []string{
 			"--listen", m.address(portCallers), "--hop-listen", m.address(portHop), "--admin-listen", m.address(portAdmin),
@@ -113,13 +122,12 @@
 	g := gomega.NewWithT(t)
 	group := processes.NewGroup(dir)
 	t.Cleanup(func() { _ = group.Close() })
-	script := fmt.Sprintf(`ulimit -n %d; AGATEPULLEY_MEMORY_MB=%d exec "$0" "$@" --log-level warn`, descriptors, memoryMB)
+	script := fmt.Sprintf(`ulimit -n %d; AGATEPULLEY_MEMORY_MB=%d exec "$0" "$@" --log-level warn`, m.descriptors, memoryMB)
 	var err error
 	m.node, err = group.Start("node", "/bin/sh", append([]string{"-c", script, binaries.Path(processes.Node)}, arguments...)...)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	m.expectServes(t)
 	m.readIncarnation(t)
-	return m
 }
 
 // readIncarnation asks the process for its incarnation.
@@ -145,6 +153,9 @@
 	endpoint, err := platformtest.NewEndpoint(store, id, service, "zone-1", m.address(portApp))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(endpoint.Close)
+	if m.raw != nil {
+		endpoint.Raw, endpoint.Capacity = m.raw, clients
+	}
 	endpoint.ResponseText = func(r *http.Request) (string, bool) {
 		if strings.HasSuffix(r.URL.Path, "/large") {
 			return large, false
@@ -171,6 +182,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		if m.raw != nil && platformtest.WriteRaw(w, m.raw(r)) {
+			return
+		}
 		_, _ = io.WriteString(w, "ok")
 	})}}
 	server.Start()
@@ -194,8 +208,12 @@
 
 // send sends a request of an ordinary client to a port and reads the response.
 func (m *machine) send(port int, header http.Header) (*http.Response, error) {
+	return m.get(port, "/read/x", header)
+}
+
+func (m *machine) get(port int, path string, header http.Header) (*http.Response, error) {
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	request, err := http.NewRequest(http.MethodGet, "http://"+m.address(port)+"/read/x", nil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+m.address(port)+path, nil)
 	if err != nil {
 		return nil, err
 	}
