Read chunked responses with the strictness of chunked requests

Callers got a body that was cut behind its last chunk as complete, and no answer, a cut body, for a well-formed one with a chunk extension or with a trailer field that names a field of a head. A trailer that begins with 0 was waited for without end.

Cause: hertz's decoder knows no extensions, checks names of trailer fields that nobody uses, skips three bytes of a trailer that begins with 0, and takes the end of the connection for the end of the trailer.

Change: responses are decoded by the state machine of pkg/framing that already reads chunked requests.

--- a/pkg/framing/chunks.go
+++ b/pkg/framing/chunks.go
@@ -1,5 +1,10 @@
 package framing
 
+import (
+	"bufio"
+	"io"
+)
+
 const (
 	// maxSizeDigits is the length up to which a chunk size is read, and maxExtensionBytes the same for the extensions of a chunk.
 	maxSizeDigits     = 15
@@ -137,3 +142,51 @@
 	}
 	return nil
 }
+
+// ChunkReader reads the data of a chunked body. Extensions and trailer fields are skipped.
+type ChunkReader struct {
+	source      *bufio.Reader
+	maxTrailers int
+	chunks      chunks
+	ended       bool
+}
+
+// NewChunkReader returns a reader of a body whose trailer fields have at most maxTrailers bytes.
+func NewChunkReader(source *bufio.Reader, maxTrailers int) *ChunkReader {
+	return &ChunkReader{source: source, maxTrailers: maxTrailers}
+}
+
+// Read implements io.Reader. It returns io.EOF only behind the last chunk and its trailer fields.
+func (r *ChunkReader) Read(p []byte) (int, error) {
+	for !r.ended {
+		if r.chunks.state == inData {
+			return r.readData(p)
+		}
+		b, err := r.source.ReadByte()
+		if err != nil {
+			return 0, cutShort(err)
+		}
+		if _, err := r.chunks.step(b, r.maxTrailers); err != nil {
+			return 0, err
+		}
+		r.ended = r.chunks.state == bodyEnd && b == '\n'
+	}
+	return 0, io.EOF
+}
+
+func (r *ChunkReader) readData(p []byte) (int, error) {
+	n, err := r.source.Read(p[:min(int64(len(p)), r.chunks.size)])
+	r.chunks.size -= int64(n)
+	if r.chunks.size == 0 {
+		r.chunks.state = dataEnd
+	}
+	return n, cutShort(err)
+}
+
+// cutShort returns the error of a read that ended before the body.
+func cutShort(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -14,10 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"agatepulley.example/agatepulley/pkg/framing"
@@ -36,11 +34,9 @@
 	maxUnmatchedBodyBytes = 1 << 20
 	// maxInterimResponses is the number of 1xx responses after which a request fails.
 	maxInterimResponses = 8
-	// maxChunkReadBytes bounds a read of a chunked body. It must be below the size of the read buffer, since hertz's
-	// chunk decoder peeks all bytes of a read first.
-	maxChunkReadBytes = readBufferBytes / 2
+	// maxTrailerBytes bounds the trailer fields of a response.
+	maxTrailerBytes = readBufferBytes
 	// lengthChunked and lengthUntilClose stand for the length of a chunked body and of a body that ends with the connection.
-	// hertz uses the same values.
 	lengthChunked    = -1
 	lengthUntilClose = -2
 )
@@ -188,8 +184,7 @@
 		r.Body = &body{response: r, reader: bytes.NewReader(nil), remaining: 0}
 		r.bodyless, r.complete = true, true
 	case r.Length == lengthChunked:
-		empty := &bytebufferpool.ByteBuffer{}
-		chunks := ext.AcquireBodyStream(empty, p.conn, head.Header.Trailer(), lengthChunked)
+		chunks := framing.NewChunkReader(p.conn.reader, maxTrailerBytes)
 		r.Body = &body{response: r, reader: chunks, remaining: lengthChunked}
 	case r.Length == lengthUntilClose:
 		r.untilClose = true
@@ -333,9 +328,7 @@
 	case 0:
 		b.response.complete = true
 		return 0, io.EOF
-	case lengthChunked:
-		return b.readChunk(p)
-	case lengthUntilClose:
+	case lengthChunked, lengthUntilClose:
 		return b.finish(b.reader.Read(p))
 	}
 	if int64(len(p)) > b.remaining {
@@ -353,13 +346,6 @@
 	return n, b.wrap(err)
 }
 
-func (b *body) readChunk(p []byte) (int, error) {
-	if len(p) > maxChunkReadBytes {
-		p = p[:maxChunkReadBytes]
-	}
-	return b.finish(b.reader.Read(p))
-}
-
 // finish returns the result of a read from a body without an announced length, in which io.EOF is the end of the body.
 func (b *body) finish(n int, err error) (int, error) {
 	if err == io.EOF {
--- a/pkg/transport/malformed_test.go
+++ b/pkg/transport/malformed_test.go
@@ -112,3 +112,46 @@
 		})
 	}
 }
+
+// Guards against chunked bodies that are read in another way than their server meant, or refused although they are well-formed.
+func TestChunkedBodies(t *testing.T) {
+	options := transport.Options{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4}
+	for name, c := range map[string]struct {
+		body  string
+		valid bool
+	}{
+		"extension":                   {"2;a=b\r\nok\r\n0\r\n\r\n", true},
+		"extension of the last chunk": {"2\r\nok\r\n0;a\r\n\r\n", true},
+		"blank before an extension":   {"2 ;a\r\nok\r\n0\r\n\r\n", true},
+		"trailer":                     {"2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", true},
+		"trailer that begins with 0":  {"2\r\nok\r\n0\r\n0x: 1\r\n\r\n", true},
+		"trailer of a head":           {"2\r\nok\r\n0\r\nContent-Length: 1\r\n\r\n", true},
+		"leading zeros":               {"0002\r\nok\r\n000\r\n\r\n", true},
+		"several chunks":              {"1\r\no\r\n1\r\nk\r\n0\r\n\r\n", true},
+		"size with a prefix":          {"0x2\r\nok\r\n0\r\n\r\n", false},
+		"size with a sign":            {"+2\r\nok\r\n0\r\n\r\n", false},
+		"size with other letters":     {"2g\r\nok\r\n0\r\n\r\n", false},
+		"size behind a blank":         {" 2\r\nok\r\n0\r\n\r\n", false},
+		"huge size":                   {"10000000000000002\r\nok\r\n0\r\n\r\n", false},
+		"empty size":                  {"\r\nok\r\n0\r\n\r\n", false},
+		"line feed alone":             {"2\nok\r\n0\r\n\r\n", false},
+		"no end of the data":          {"2\r\nok0\r\n\r\n", false},
+		"longer than its size":        {"1\r\nok\r\n0\r\n\r\n", false},
+		"no last line":                {"2\r\nok\r\n0\r\n", false},
+		"trailer with a line feed":    {"2\r\nok\r\n0\r\nX-Sum: 1\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + c.body
+			if !c.valid {
+				got, err := fetchWithin(transport.NewPool(serveRaw(t, response), options, &transport.Stats{}), "/x", hangTimeout)
+				g.Expect(err).To(gomega.HaveOccurred(), "body %q", got)
+				return
+			}
+			pool := transport.NewPool(serveRaw(t, response, response), options, &transport.Stats{})
+			defer pool.Close()
+			g.Expect(fetchWithin(pool, "/first", hangTimeout)).To(gomega.Equal("ok"))
+			g.Expect(fetchWithin(pool, "/second", hangTimeout)).To(gomega.Equal("ok"))
+		})
+	}
+}
