Believe no response of the store whose head is malformed

A response in which the name of the era field held a blank, or its value was no number, passed for one of era 0, or of era 65535 if the number was too large: revisions of another era were then compared with those in force.

--- a/pkg/framing/response.go
+++ b/pkg/framing/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 )
 
 // BodyEnd says how the end of a response body is found.
@@ -104,3 +105,13 @@
 	}
 	return string(code), nil
 }
+
+// CheckHeader checks the names of a header that net/http has read, which accepts blanks in them.
+func CheckHeader(header http.Header) error {
+	for name := range header {
+		if !isToken([]byte(name)) {
+			return malformed("field name %.64q", name)
+		}
+	}
+	return nil
+}
