Bound and check the heads of the configuration service

A head of up to 10 MB was read into memory, and a value was taken from a response with blanks in names of fields.

Cause: the default of net/http, which also accepts blanks.

Change: heads have 64 KiB at most, as those of the store, and names are checked.

--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -21,6 +21,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"agatepulley.example/agatepulley/pkg/framing"
 )
 
 var (
@@ -42,6 +44,8 @@
 	maxValueBytes = 1 << 20
 	// maxHostListBytes bounds the host list. An entry takes about 80 bytes, so that over 100,000 hosts fit.
 	maxHostListBytes = 16 << 20
+	// maxHeaderBytes bounds the header of a response, since another kind of server may listen at the address.
+	maxHeaderBytes = 64 << 10
 	// maxErrorTextBytes bounds the part of an error response that is copied into an error message.
 	maxErrorTextBytes = 200
 )
@@ -99,6 +103,8 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
 		base:    strings.TrimSuffix(address, "/"),
@@ -205,6 +211,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if err := framing.CheckHeader(response.Header); err != nil {
+		return err
+	}
 	// One byte more than the limit is read to detect a body that is too long.
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
--- a/pkg/platform/platform_test.go
+++ b/pkg/platform/platform_test.go
@@ -89,3 +89,32 @@
 	_, err := client.Hosts(context.Background())
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("hosts[0]")))
 }
+
+// Guards against a value that is taken from a response whose head is malformed, or from a head without end.
+func TestMalformedHeadsAreErrors(t *testing.T) {
+	const fields = "X-Revision: 1\r\nContent-Length: 1\r\n"
+	for name, head := range map[string]string{
+		"blank in a name":          "HTTP/1.1 200 OK\r\n" + fields + "X Field: a\r\n",
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nX-Revision: 1\r\nContent-Length : 1\r\n",
+		"control byte in a name":   "HTTP/1.1 200 OK\r\n" + fields + "X-\x01Field: a\r\n",
+		"line that is no field":    "HTTP/1.1 200 OK\r\n" + fields + "no field\r\n",
+		"length with letters":      "HTTP/1.1 200 OK\r\nX-Revision: 1\r\nContent-Length: 1o\r\n",
+		"status 000":               "HTTP/1.1 000 OK\r\n" + fields,
+		"head of over 64 KiB":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: "+strings.Repeat("a", 1000)+"\r\n", 100) + fields,
+		"interim heads over 1 MiB": strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("a", 1000)+"\r\n\r\n", 1024) + "HTTP/1.1 200 OK\r\n" + fields,
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Write([]byte(head + "\r\nx"))
+			})
+			_, err := client.Value(t.Context(), "key")
+			gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
