Name malformed answers in the reason of a failure

Callers and the log were told that the connection was lost when an endpoint had sent a malformed answer, which is not true and sends whoever looks for the cause to the network.

Change: reason answer-malformed, on both paths, for endpoints and between nodes. It counts as a failure of the endpoint like connection-lost.

--- a/bench/crowd/answers_test.go
+++ b/bench/crowd/answers_test.go
@@ -102,6 +102,7 @@
 					g.Expect(err).NotTo(gomega.HaveOccurred())
 					g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
 					g.Expect(outcome.Outcome(response.Header.Get(outcome.HeaderOutcome))).To(gomega.Equal(outcome.Unknown))
+					g.Expect(outcome.Reason(response.Header.Get(outcome.HeaderReason))).To(gomega.Equal(outcome.ReasonAnswerMalformed))
 				})
 				t.Run(label+", for another node", func(t *testing.T) {
 					g := gomega.NewWithT(t)
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -99,6 +99,8 @@
 	ReasonStaleAfterPause Reason = "stale-after-pause"
 	// ReasonAnswerMismatch means that the response may belong to another request on the same connection.
 	ReasonAnswerMismatch Reason = "answer-mismatch"
+	// ReasonAnswerMalformed means that the response breaks the syntax of HTTP/1.1, so that its body cannot be told.
+	ReasonAnswerMalformed Reason = "answer-malformed"
 	// ReasonUnknownEndpoint means that the node does not serve the endpoint.
 	ReasonUnknownEndpoint Reason = "unknown-endpoint"
 	// ReasonEndpointSuspect means that the endpoint became likely to fail while the request waited in its queue or for its
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -187,6 +187,6 @@
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonBackendCrash, stepDispatch, e.id, err)
 	default:
 		e.observe(r, faultfilter.Failure, 0)
-		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
+		return outcome.MayHaveRun(http.StatusBadGateway, relay.LostReason(err), stepDispatch, e.id, err)
 	}
 }
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -225,7 +225,7 @@
 	if state, known := f.inquire(ctx, p, meta, f.options.Inquirer.Withdraw); known && state == attempts.NotRun {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnectionLost, stepInquire, p.host, err)
 	}
-	return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, p.host, err)
+	return outcome.MayHaveRun(http.StatusBadGateway, relay.LostReason(err), stepSend, p.host, err)
 }
 
 // inquireFunc is Inquirer.Inquire or Inquirer.Withdraw.
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -232,7 +232,7 @@
 	if state, known := i.inquire(ctx, p, meta); known && state == attempts.NotRun {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonConnectionLost, stepInquire, peer, err)
 	}
-	return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepSend, peer, err)
+	return outcome.MayHaveRun(http.StatusBadGateway, relay.LostReason(err), stepSend, peer, err)
 }
 
 // inquire queries the owner for the state of an attempt. It returns false if the owner did not answer in time.
--- a/pkg/ingress/serve.go
+++ b/pkg/ingress/serve.go
@@ -289,7 +289,8 @@
 // neutral: it is no evidence of a failing endpoint.
 func failureKind(failure *outcome.Error) health.Kind {
 	switch failure.Reason {
-	case outcome.ReasonConnect, outcome.ReasonConnectionLost, outcome.ReasonBackendCrash, outcome.ReasonBodyCut, outcome.ReasonAnswerMismatch:
+	case outcome.ReasonConnect, outcome.ReasonConnectionLost, outcome.ReasonBackendCrash, outcome.ReasonBodyCut, outcome.ReasonAnswerMismatch,
+		outcome.ReasonAnswerMalformed:
 		return health.Failure
 	case outcome.ReasonDeadline:
 		if failure.Outcome == outcome.Unknown {
--- a/pkg/owner/endpoint.go
+++ b/pkg/owner/endpoint.go
@@ -16,6 +16,7 @@
 	"agatepulley.example/agatepulley/pkg/config"
 	"agatepulley.example/agatepulley/pkg/hop"
 	"agatepulley.example/agatepulley/pkg/news"
+	"agatepulley.example/agatepulley/pkg/relay"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -432,7 +433,7 @@
 		e.suspect(ctx, r)
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonBackendCrash, stepDispatch, e.id, err)
 	default:
-		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonConnectionLost, stepDispatch, e.id, err)
+		return outcome.MayHaveRun(http.StatusBadGateway, relay.LostReason(err), stepDispatch, e.id, err)
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"agatepulley.example/agatepulley/core/outcome"
+	"agatepulley.example/agatepulley/pkg/framing"
 	"agatepulley.example/agatepulley/pkg/transport"
 )
 
@@ -205,6 +206,14 @@
 	return err
 }
 
+// LostReason returns the reason of an exchange that ended without a response for the request, although it may have run.
+func LostReason(err error) outcome.Reason {
+	if errors.Is(err, framing.ErrMalformed) {
+		return outcome.ReasonAnswerMalformed
+	}
+	return outcome.ReasonConnectionLost
+}
+
 const copyBufferBytes = 32 << 10
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
