Refuse a chunk size that other text follows

A chunk size with a blank and other text behind it, such as "2 3", was read as 2, in requests and responses; another reader refuses it.

Cause: a blank began an extension, without the semicolon that must follow it.

Change: behind a blank only blanks, a semicolon or the end of the line are accepted.

Evidence: found by FuzzChunkReader, which compares with net/http.

--- a/pkg/framing/chunks.go
+++ b/pkg/framing/chunks.go
@@ -16,6 +16,7 @@
 
 const (
 	inSize chunkState = iota
+	sizeBlank // the blanks behind a chunk size
 	inExtension
 	sizeEnd // the line feed behind a chunk size
 	inData
@@ -70,6 +71,8 @@
 	switch c.state {
 	case inSize:
 		return c.sizeStep(b)
+	case sizeBlank:
+		return c.blankStep(b)
 	case inExtension:
 		if c.extra++; c.extra > maxExtensionBytes || b == '\n' {
 			return false, malformed("chunk extension")
@@ -130,8 +133,25 @@
 		c.state = sizeEnd
 		return true, nil
 	case c.digits > 0 && (b == ';' || b == ' ' || b == '\t'):
+		return c.blankStep(b)
+	}
+	return false, malformed("chunk size")
+}
+
+// blankStep advances behind the digits of a chunk size, where only an extension or the end of the line may follow.
+func (c *chunks) blankStep(b byte) (keep bool, err error) {
+	switch {
+	case b == '\r':
+		c.state = sizeEnd
+		return true, nil
+	case b == ';':
 		c.state = inExtension
 		return false, nil
+	case b == ' ' || b == '\t':
+		c.state = sizeBlank
+		if c.extra++; c.extra <= maxExtensionBytes {
+			return false, nil
+		}
 	}
 	return false, malformed("chunk size")
 }
--- a/pkg/transport/malformed_test.go
+++ b/pkg/transport/malformed_test.go
@@ -132,6 +132,8 @@
 		"size with a sign":            {"+2\r\nok\r\n0\r\n\r\n", false},
 		"size with other letters":     {"2g\r\nok\r\n0\r\n\r\n", false},
 		"size behind a blank":         {" 2\r\nok\r\n0\r\n\r\n", false},
+		"two sizes":                   {"2 3\r\nok\r\n0\r\n\r\n", false},
+		"blanks behind a size":        {"2 \t\r\nok\r\n0 \r\n\r\n", true},
 		"huge size":                   {"10000000000000002\r\nok\r\n0\r\n\r\n", false},
 		"empty size":                  {"\r\nok\r\n0\r\n\r\n", false},
 		"line feed alone":             {"2\nok\r\n0\r\n\r\n", false},
