--- a/pkg/framing/chunks.go
+++ b/pkg/framing/chunks.go
@@ -15,8 +15,8 @@
 type chunkState int
 
 const (
-	inSize chunkState = iota
-	sizeBlank // the blanks behind a chunk size
+	inSize    chunkState = iota
+	sizeBlank            // the blanks behind a chunk size
 	inExtension
 	sizeEnd // the line feed behind a chunk size
 	inData
