--- a/bench/crowd/answers_test.go
+++ b/bench/crowd/answers_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,18 +20,28 @@
 // answerTime is the time that a client gives an answer. It is longer than the deadline of its request.
 const answerTime = 1500 * time.Millisecond
 
-// rawPath is the prefix of the paths that an endpoint in trouble answers, followed by the number of the answer.
+// answer returns what an endpoint in trouble writes to the connection of a request.
+type answer func(r *http.Request) func(w io.Writer)
+
+// rawPath is the prefix of the paths to which an endpoint in trouble gives an answer, followed by the number of the answer.
 const rawPath = "/read/raw/"
 
-// rawAnswers returns a function for machine.raw that writes the answer whose number is in the path.
-func rawAnswers(answers []func(r *http.Request) func(w io.Writer)) func(r *http.Request) func(w io.Writer) {
-	return func(r *http.Request) func(w io.Writer) {
+// startInTrouble starts a machine whose endpoint gives the answers. It returns the path of each answer by its label.
+func startInTrouble(t *testing.T, k kind, answers map[string]answer) (m *machine, paths map[string]string) {
+	labels := slices.Sorted(maps.Keys(answers))
+	m = &machine{kind: k, descriptors: descriptors, raw: func(r *http.Request) func(w io.Writer) {
 		var number int
 		if _, err := fmt.Sscanf(r.URL.Path, rawPath+"%d", &number); err != nil {
 			return nil
 		}
-		return answers[number](r)
+		return answers[labels[number]](r)
+	}}
+	m.start(t)
+	paths = make(map[string]string)
+	for number, label := range labels {
+		paths[label] = fmt.Sprint(rawPath, number)
 	}
+	return m, paths
 }
 
 // signature returns the fields by which a response belongs to a request.
@@ -38,22 +50,22 @@
 	return fmt.Sprintf("%s: %s\r\n%s: e1.%s\r\n", names.RequestID, id, names.Signature, id)
 }
 
-// text answers with a text in which SIGNED stands for the fields that attribute it to the request.
-func text(answer string) func(r *http.Request) func(w io.Writer) {
+// raw returns an answer of a text in which SIGNED stands for the fields that attribute it to the request.
+func raw(text string) answer {
 	return func(r *http.Request) func(w io.Writer) {
-		return func(w io.Writer) { _, _ = io.WriteString(w, strings.ReplaceAll(answer, "SIGNED", signature(r))) }
+		return func(w io.Writer) { _, _ = io.WriteString(w, strings.ReplaceAll(text, "SIGNED", signature(r))) }
 	}
 }
 
-// without end answers like text and then writes a piece again and again until the connection is closed.
-func withoutEnd(answer, piece string, pause time.Duration) func(r *http.Request) func(w io.Writer) {
+// withoutEnd returns an answer of a text as for raw and then a piece again and again, until the connection is closed.
+func withoutEnd(text, piece string, pause time.Duration) answer {
 	block := strings.Repeat(piece, max(1, (32<<10)/len(piece)))
 	if pause > 0 {
 		block = piece
 	}
 	return func(r *http.Request) func(w io.Writer) {
 		return func(w io.Writer) {
-			text(answer)(r)(w)
+			raw(text)(r)(w)
 			for {
 				if _, err := io.WriteString(w, block); err != nil {
 					return
@@ -66,50 +78,41 @@
 
 // Guards against responses that reach callers as answers although they are malformed.
 func TestMalformedAnswers(t *testing.T) {
-	malformed := map[string]string{
-		"a length with letters":             "HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 1o\r\n\r\nok",
-		"a length without a colon":          "HTTP/1.1 200 OK\r\nSIGNEDContent-Length 2\r\n\r\nok",
-		"a blank before the colon":          "HTTP/1.1 200 OK\r\nSIGNEDContent-Length : 2\r\n\r\nok and more",
-		"a blank in the name":               "HTTP/1.1 200 OK\r\nSIGNEDContent Length: 2\r\n\r\nok and more",
-		"a control byte in the name":        "HTTP/1.1 200 OK\r\nSIGNEDContent-\x01Length: 2\r\n\r\nok and more",
-		"a blank in another name":           "HTTP/1.1 200 OK\r\nSIGNEDX Field: a\r\nContent-Length: 2\r\n\r\nok",
-		"a control byte in another name":    "HTTP/1.1 200 OK\r\nSIGNEDX\x02Field: a\r\nContent-Length: 2\r\n\r\nok",
-		"a line that is no field":           "HTTP/1.1 200 OK\r\nSIGNEDno field\r\nContent-Length: 2\r\n\r\nok",
-		"a line of a body":                  "HTTP/1.1 200 OK\r\nSIGNED{\"a\":\"b\"}\r\nContent-Length: 2\r\n\r\nok",
-		"two lengths":                       "HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\nContent-Length: 5\r\n\r\nok and more",
-		"an unknown encoding":               "HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: chunke\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"a length and an encoding":          "HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"status 000":                        "HTTP/1.1 000 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok",
-		"status 999":                        "HTTP/1.1 999 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok",
-		"status 101":                        "HTTP/1.1 101 OK\r\nSIGNEDUpgrade: other\r\n\r\nok",
-		"an interim response with no field": "HTTP/1.1 103 Early Hints\r\nno field\r\n\r\nHTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok",
+	malformed := map[string]answer{
+		"a length with letters":             raw("HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 1o\r\n\r\nok"),
+		"a length without a colon":          raw("HTTP/1.1 200 OK\r\nSIGNEDContent-Length 2\r\n\r\nok"),
+		"a blank before the colon":          raw("HTTP/1.1 200 OK\r\nSIGNEDContent-Length : 2\r\n\r\nok and more"),
+		"a blank in the name":               raw("HTTP/1.1 200 OK\r\nSIGNEDContent Length: 2\r\n\r\nok and more"),
+		"a control byte in the name":        raw("HTTP/1.1 200 OK\r\nSIGNEDContent-\x01Length: 2\r\n\r\nok and more"),
+		"a blank in another name":           raw("HTTP/1.1 200 OK\r\nSIGNEDX Field: a\r\nContent-Length: 2\r\n\r\nok"),
+		"a control byte in another name":    raw("HTTP/1.1 200 OK\r\nSIGNEDX\x02Field: a\r\nContent-Length: 2\r\n\r\nok"),
+		"a line that is no field":           raw("HTTP/1.1 200 OK\r\nSIGNEDno field\r\nContent-Length: 2\r\n\r\nok"),
+		"a line of a body":                  raw("HTTP/1.1 200 OK\r\nSIGNED{\"a\":\"b\"}\r\nContent-Length: 2\r\n\r\nok"),
+		"two lengths":                       raw("HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\nContent-Length: 5\r\n\r\nok and more"),
+		"an unknown encoding":               raw("HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: chunke\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		"a length and an encoding":          raw("HTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		"status 000":                        raw("HTTP/1.1 000 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok"),
+		"status 999":                        raw("HTTP/1.1 999 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok"),
+		"status 101":                        raw("HTTP/1.1 101 OK\r\nSIGNEDUpgrade: other\r\n\r\nok"),
+		"an interim response with no field": raw("HTTP/1.1 103 Early Hints\r\nno field\r\n\r\nHTTP/1.1 200 OK\r\nSIGNEDContent-Length: 2\r\n\r\nok"),
 	}
 	for _, k := range []kind{registered, published} {
 		t.Run(string(k), func(t *testing.T) {
-			var labels []string
-			var answers []func(r *http.Request) func(w io.Writer)
-			for label, answer := range malformed {
-				labels, answers = append(labels, label), append(answers, text(answer))
-			}
-			m := &machine{kind: k, descriptors: descriptors, raw: rawAnswers(answers)}
-			m.start(t)
-			for number, label := range labels {
-				path := fmt.Sprint(rawPath, number)
+			m, paths := startInTrouble(t, k, malformed)
+			for label, path := range paths {
 				t.Run(label, func(t *testing.T) {
-					g := gomega.NewWithT(t)
-					header := http.Header{names.RequestID: {fmt.Sprintf("raw-%d", number)}, names.DeadlineMS: {"1500"}}
-					response, err := m.get(portCallers, path, header)
-					g.Expect(err).NotTo(gomega.HaveOccurred())
-					g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
-					g.Expect(outcome.Outcome(response.Header.Get(outcome.HeaderOutcome))).To(gomega.Equal(outcome.Unknown))
-					g.Expect(outcome.Reason(response.Header.Get(outcome.HeaderReason))).To(gomega.Equal(outcome.ReasonAnswerMalformed))
-				})
-				t.Run(label+", for another node", func(t *testing.T) {
-					g := gomega.NewWithT(t)
-					response, err := m.get(portHop, path, m.hopHeader(fmt.Sprintf("raw-%d", number)))
-					g.Expect(err).NotTo(gomega.HaveOccurred())
-					g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
-					g.Expect(outcome.Outcome(response.Header.Get(outcome.HeaderOutcome))).To(gomega.Equal(outcome.Unknown))
+					id := strings.ReplaceAll(path, "/", "-")
+					for port, header := range map[int]http.Header{
+						portCallers: {names.RequestID: {id}, names.DeadlineMS: {"1500"}},
+						portHop:     m.hopHeader(id),
+					} {
+						g := gomega.NewWithT(t)
+						response, err := m.get(port, path, header)
+						g.Expect(err).NotTo(gomega.HaveOccurred())
+						g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
+						g.Expect(outcome.Outcome(response.Header.Get(outcome.HeaderOutcome))).To(gomega.Equal(outcome.Unknown))
+						g.Expect(outcome.Reason(response.Header.Get(outcome.HeaderReason))).To(gomega.Equal(outcome.ReasonAnswerMalformed))
+					}
 				})
 			}
 			m.expectServes(t)
@@ -125,7 +128,7 @@
 		chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	)
 	kilobyte := strings.Repeat("x", 1<<10)
-	endless := map[string]func(r *http.Request) func(w io.Writer){
+	endless := map[string]answer{
 		"no head":                     withoutEnd("", kilobyte, 0),
 		"empty lines":                 withoutEnd("", "\r\n", 0),
 		"a reason":                    withoutEnd("HTTP/1.1 200 ", kilobyte, 0),
@@ -148,17 +151,11 @@
 	}
 	for _, k := range []kind{registered, published} {
 		t.Run(string(k), func(t *testing.T) {
-			var labels []string
-			var answers []func(r *http.Request) func(w io.Writer)
-			for label, answer := range endless {
-				labels, answers = append(labels, label), append(answers, answer)
-			}
-			m := &machine{kind: k, descriptors: descriptors, raw: rawAnswers(answers)}
-			m.start(t)
-			for number, label := range labels {
+			m, paths := startInTrouble(t, k, endless)
+			for label, path := range paths {
 				t.Run(label+" without end", func(t *testing.T) {
 					most := m.watchDescriptors()
-					m.crowdRequests(fmt.Sprint(rawPath, number))
+					m.crowdRequests(path)
 					m.expectUnharmed(t, most())
 				})
 			}
