--- a/pkg/framing/chunks.go
+++ b/pkg/framing/chunks.go
@@ -72,7 +72,7 @@
 	case inSize:
 		return c.sizeStep(b)
 	case sizeBlank:
-		return c.blankStep(b)
+		return c.sizeBlankStep(b)
 	case inExtension:
 		if c.extra++; c.extra > maxExtensionBytes || b == '\n' {
 			return false, malformed("chunk extension")
@@ -129,17 +129,14 @@
 	case digit >= 0 && c.digits < maxSizeDigits:
 		c.size, c.digits = c.size<<4|digit, c.digits+1
 		return true, nil
-	case c.digits > 0 && b == '\r':
-		c.state = sizeEnd
-		return true, nil
-	case c.digits > 0 && (b == ';' || b == ' ' || b == '\t'):
-		return c.blankStep(b)
+	case c.digits > 0:
+		return c.sizeBlankStep(b)
 	}
 	return false, malformed("chunk size")
 }
 
-// blankStep advances behind the digits of a chunk size, where only an extension or the end of the line may follow.
-func (c *chunks) blankStep(b byte) (keep bool, err error) {
+// sizeBlankStep advances behind the digits of a chunk size, where only an extension or the end of the line may follow.
+func (c *chunks) sizeBlankStep(b byte) (keep bool, err error) {
 	switch {
 	case b == '\r':
 		c.state = sizeEnd
