Run no request on a connection that is closed for the limit

Beyond the limit of connections, a request that arrived while its connection was chosen to be closed ran, and its caller got no answer.

Cause: the connection was chosen under the lock and closed after it. A request that began in between was counted on it and lost its connection; one that began afterwards found no connection and was handled all the same.

Change: a chosen connection leaves the list under the same lock. A request that finds none closes the connection and is not run.

--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -256,8 +256,13 @@
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	conn := s.requestStarted(c.GetConn().RemoteAddr().String())
 	defer s.requestEnded(conn)
+	if conn == nil {
+		// The response could not be delivered, so the request must not run.
+		_ = c.GetConn().Close()
+		return
+	}
 	defer func() { c.Response.HijackWriter(written{s.writeResponse(c)}) }()
-	if conn != nil && conn.reader.Refusal() != nil {
+	if conn.reader.Refusal() != nil {
 		s.refuse(c, conn.reader.Refusal())
 		return
 	}
@@ -332,6 +337,7 @@
 			slow = append(slow, conn)
 		}
 	}
+	s.remove(slow...)
 	s.mu.Unlock()
 	s.closeExcess(slow...)
 }
@@ -348,7 +354,16 @@
 	return t.slowSweeps > limit
 }
 
-// closeExcess closes connections to keep the limits.
+// remove takes connections out of the server's list, so that no request on them is begun. The caller holds the lock.
+func (s *Server) remove(conns ...*trackedConn) {
+	for _, conn := range conns {
+		if address := conn.RemoteAddr().String(); s.conns[address] == conn {
+			delete(s.conns, address)
+		}
+	}
+}
+
+// closeExcess closes connections, which were removed, to keep the limits.
 func (s *Server) closeExcess(conns ...*trackedConn) {
 	for _, conn := range conns {
 		s.closed.Add(1)
@@ -389,8 +404,8 @@
 	return int(s.inFlight.Load())
 }
 
-// requestStarted counts a request on the connection of a remote address. It returns nil if the connection is already
-// closed.
+// requestStarted counts a request on the connection of a remote address, which then is not closed to keep the limits. It returns
+// nil if the connection is already closed or about to be.
 func (s *Server) requestStarted(remote string) *trackedConn {
 	s.inFlight.Add(1)
 	s.mu.Lock()
@@ -439,6 +454,7 @@
 	var excess *trackedConn
 	if len(s.conns) > s.limits.MaxConnections {
 		excess = s.leastUseful(t)
+		s.remove(excess)
 	}
 	s.mu.Unlock()
 	if excess != nil {
@@ -462,9 +478,7 @@
 // Close closes the connection and removes it from the server's list.
 func (t *trackedConn) Close() error {
 	t.server.mu.Lock()
-	if t.server.conns[t.RemoteAddr().String()] == t {
-		delete(t.server.conns, t.RemoteAddr().String())
-	}
+	t.server.remove(t)
 	t.server.mu.Unlock()
 	t.reader.Close()
 	return t.Conn.Close()
--- a/pkg/httpserver/server_test.go
+++ b/pkg/httpserver/server_test.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +169,42 @@
 		})
 	}
 }
+
+// Guards against a request that is run although its connection was closed to keep the limit, so that its response is lost.
+func TestRequestsOnConnectionsClosedForTheLimitAreNotRun(t *testing.T) {
+	const clients, requests = 32, 200
+	g := gomega.NewWithT(t)
+	var ran sync.Map
+	telemetry.RedirectHertzLog(slog.New(slog.DiscardHandler))
+	s := httpserver.New("127.0.0.1:0", func(_ context.Context, c *app.RequestContext) {
+		ran.Store(string(c.Path()), true)
+		c.SetStatusCode(http.StatusNoContent)
+	}, slog.New(slog.DiscardHandler), httpserver.Limits{MaxConnections: 4})
+	g.Expect(s.Start(context.Background())).To(gomega.Succeed())
+	var answered atomic.Int64
+	var crowd sync.WaitGroup
+	for client := range clients {
+		crowd.Go(func() {
+			for number := range requests {
+				conn, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					continue
+				}
+				path := fmt.Sprintf("/%d/%d", client, number)
+				if _, err := get(conn, path); err == nil {
+					answered.Add(1)
+					ran.Delete(path)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	crowd.Wait()
+	g.Expect(s.Stop(context.Background())).To(gomega.Succeed())
+	lost := 0
+	ran.Range(func(_, _ any) bool { lost++; return true })
+	t.Logf("%d of %d requests were answered, %d connections closed", answered.Load(), clients*requests, s.Closed())
+	g.Expect(s.Closed()).To(gomega.BeNumerically(">", 0))
+	g.Expect(answered.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(lost).To(gomega.BeZero(), "requests ran and were not answered")
+}
